--- /dev/null
+++ b/mulleinworks/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of a quota-keeping gateway for a shared API."""
--- /dev/null
+++ b/mulleinworks/adapter.py
@@ -0,0 +1,264 @@
+"""The simulator's wire: reads batches, drives one Gateway an instance, writes replies. Decides nothing."""
+
+from __future__ import annotations
+
+import json
+import sys
+from collections.abc import Iterable
+from typing import Any, TextIO
+
+from mulleinworks.control import Gateway
+from mulleinworks.interface import (
+    Action, AttemptEnded, Backend, BackendList, Cancel, ClientLeft, Count, Counted, Event, Fail, ListKind,
+    Outcome, Plan, Probed, Refuse, Repeats, Request, RequestClass, Scope, Send, SetTimer, Settings, Status,
+    StreamBegun, Subscribe, TimerDue,
+)
+
+OUTCOMES = {
+    "GOOD": Outcome.SERVED, "BAD": Outcome.ERROR, "FULL": Outcome.TURNED_AWAY, "LATE": Outcome.TIMED_OUT,
+    "NOCONN": Outcome.NO_CONNECTION, "RST": Outcome.BROKEN, "CXL": Outcome.CANCELLED, "NOP": Outcome.NOT_SENT,
+}
+REPEATS = {"repeatable": Repeats.SAFE, "by_key": Repeats.BY_KEY, "once": Repeats.ONCE}
+SCOPES = {"all": Scope.ALL, "zone": Scope.ZONE, "cell": Scope.CELL}
+KINDS = {"Partial": ListKind.CHANGES, "Complete": ListKind.WHOLE, "Persisted": ListKind.REMEMBERED,
+         "Error": ListKind.FAILED}
+STATUSES = {"SERVING": Status.SERVING, "DRAINING": Status.DRAINING, "DELETED": Status.GONE}
+
+
+class Malformed(Exception):
+    """A line that the wire does not allow."""
+
+
+def pick(table: dict[str, Any], value: str) -> Any:
+    if value not in table:
+        raise Malformed(f"unknown value {value!r}")
+    return table[value]
+
+
+def take(source: dict[str, Any], key: str) -> Any:
+    if not isinstance(source, dict) or key not in source:
+        raise ValueError(f"settings: missing key {key}")
+    return source[key]
+
+
+def read_settings(env: dict[str, Any]) -> Settings:
+    """The settings of an instance from its first message; ValueError names a key that is missing or wrong."""
+    limits, rules, domain = take(env, "limits"), take(env, "rules"), take(env, "domain")
+
+    def number(source: dict[str, Any], key: str) -> float:
+        value = take(source, key)
+        if isinstance(value, bool) or not isinstance(value, int | float):
+            raise ValueError(f"settings: {key} is not a number")
+        return float(value)
+
+    def seconds(source: dict[str, Any], key: str) -> float:
+        return number(source, key) / 1000.0
+
+    def named(table: dict[str, Any], source: dict[str, Any], key: str) -> Any:
+        value = take(source, key)
+        if value not in table:
+            raise ValueError(f"settings: {key} has an unknown value {value!r}")
+        return table[value]
+
+    classes = tuple(
+        RequestClass(
+            name=take(c, "name"), repeats=named(REPEATS, c, "semantics"),
+            scope=named(SCOPES, c, "dedup_scope"),
+            memory=seconds(c, "memory_span"), aim=seconds(c, "aim"), deadline=seconds(c, "deadline"),
+            late_share=number(c, "late_share"), worth=number(c, "credit"), stream=bool(take(c, "stream")),
+        )
+        for c in take(env, "services")
+    )
+    plans = tuple(
+        Plan(
+            name=take(p, "name"), rate=number(p, "units_per_s"), burst=number(p, "peak_units"),
+            concurrency=int(number(p, "concurrency")), ceiling_rate=number(p, "hard_rate"),
+            ceiling_depth=number(p, "cap_depth"), worth_factor=number(p, "value_factor"),
+            beyond_worth=number(p, "extra_worth"), beyond_cost=number(p, "overrun_cost"),
+        )
+        for p in take(env, "packages")
+    )
+    return Settings(
+        me=int(number(env, "me")), gateways=int(number(env, "balancers")), classes=classes, plans=plans,
+        zone=take(env, "zone"), list_pushed=take(env, "membership_mode") == "pushed",
+        ask_every=seconds(rules, "ask_every"), counter=bool(take(domain, "counter")),
+        counter_patience=seconds(domain, "count_limit"), counter_price=number(domain, "count_fee"),
+        may_cancel=bool(take(limits, "cancel")), may_probe=bool(take(limits, "may_probe")),
+        second_copies=bool(take(limits, "second_copies")), max_attempts=int(number(limits, "max_attempts")),
+        retry_after=bool(take(limits, "retry_after")), max_retry_after=seconds(limits, "max_retry_after"),
+        cold_from=number(rules, "cold_from"), warm_within=seconds(rules, "warm_within"),
+        fall_multiple=number(rules, "fall_multiple"), overload_for=seconds(rules, "overload_for"),
+        report_fields=tuple(take(take(env, "report"), "fields")), most_units=number(domain, "max_units"),
+        settles=bool(take(domain, "post_paid")),
+    )
+
+
+def read_backend(parts: list[str]) -> Backend:
+    if len(parts) < 8 or parts[0] != "backend":
+        raise Malformed("expected a backend line")
+    started = 0.0 if parts[7] == "-" else float(parts[7]) / 1000.0
+    return Backend(parts[1], parts[2], parts[3], int(parts[4]), pick(STATUSES, parts[5]), float(parts[6]),
+                   started if started else None)
+
+
+def read_load(parts: list[str], at: int) -> tuple[float, ...]:
+    text = value(parts, at, "-")
+    return () if text in ("-", "") else tuple(float(v) for v in text.split(","))
+
+
+def value(parts: list[str], at: int, absent: str) -> str:
+    return parts[at] if at < len(parts) and parts[at] != "-" else absent
+
+
+def read_event(parts: list[str], lists: dict[int, tuple[Backend, ...]]) -> Event | None:
+    """One event line as an event of the library; None for what the module has no use for."""
+    what = parts[0]
+    if what == "job_in":
+        return Request(
+            id=int(parts[1]), klass=parts[2], plan=value(parts, 3, ""), customer=value(parts, 4, ""),
+            deadline=float(parts[5]) / 1000.0, units=float(value(parts, 6, "1")),
+            width=int(value(parts, 7, "0")),
+            first_gateway=int(value(parts, 8, "0")), repeat=bool(int(value(parts, 9, "0")) & 2),
+        )
+    if what == "result":
+        return AttemptEnded(
+            request=int(parts[1]), attempt=int(parts[2]), backend=parts[3], outcome=pick(OUTCOMES, parts[4]),
+            elapsed=float(parts[5]) / 1000.0, over=value(parts, 6, "0") == "1",
+            true_units=float(value(parts, 8, "0")), load=read_load(parts, 9),
+        )
+    if what == "deadline_hit":
+        return TimerDue(parts[1])
+    if what == "counted":
+        total = float(value(parts, 3, "0"))
+        return Counted(parts[1], pick(OUTCOMES, parts[4]), float(parts[2]) / 1000.0, total)
+    if what == "discovery":
+        kind = pick(KINDS, parts[2])
+        if kind is ListKind.FAILED:
+            return BackendList(kind, ())
+        if int(parts[1]) not in lists:
+            raise Malformed("discovery names an unknown page")
+        return BackendList(kind, lists[int(parts[1])])
+    if what == "client_left":
+        return ClientLeft(int(parts[1]))
+    if what == "ack_first":
+        return StreamBegun(int(parts[1]), int(parts[2]))
+    if what == "probe_result":
+        return Probed(parts[1], pick(OUTCOMES, parts[2]), float(parts[3]) / 1000.0, read_load(parts, 4))
+    if what == "note_from":
+        return None
+    raise Malformed(f"unknown message {what!r}")
+
+
+def write_action(action: Action) -> str:
+    if isinstance(action, Send):
+        return f"issue\t{action.request}\t{max(action.timeout * 1000.0, 0.001):.3f}\t{action.backend}"
+    if isinstance(action, SetTimer):
+        return f"timer\t{action.delay * 1000.0:.3f}\t{action.key}"
+    if isinstance(action, Refuse):
+        return f"deny\t{action.request}\t{action.retry_after * 1000.0:.3f}"
+    if isinstance(action, Fail):
+        return f"report_failure\t{action.request}"
+    if isinstance(action, Count):
+        return f"incr\t{action.name}\t{action.amount:.6g}\t{action.forget_after * 1000.0:.3f}"
+    if isinstance(action, Cancel):
+        return f"recall\t{action.request}\t{action.attempt}"
+    assert isinstance(action, Subscribe)
+    return "keep_informed\t1"
+
+
+class Host:
+    """All instances of one process. They share nothing but the numbered lists that the wire itself shares."""
+
+    def __init__(self) -> None:
+        self.gateways: dict[int, Gateway] = {}
+        self.lists: dict[int, tuple[Backend, ...]] = {}
+
+    def batch(self, now: float, lines: list[str]) -> list[str]:
+        out: list[str] = []
+        who = speaking = -1
+        at = 0
+        while at < len(lines):
+            parts = lines[at].split("\t")
+            at += 1
+            try:
+                if parts[0] == "about":
+                    who = int(parts[1])
+                    continue
+                if parts[0] == "page":
+                    count = int(parts[2])
+                    if count < 0 or at + count > len(lines):
+                        raise Malformed("a page with too few entries")
+                    rows = lines[at:at + count]
+                    self.lists[int(parts[1])] = tuple(read_backend(r.split("\t")) for r in rows)
+                    at += count
+                    continue
+                if who < 0:
+                    raise Malformed("an event before any instance is named")
+                if parts[0] == "retire":
+                    self.gateways.pop(who, None)
+                    continue
+                if parts[0] == "up":
+                    seed = int(parts[1])
+                    env = json.loads("\t".join(parts[2:]))
+                    self.gateways[who] = Gateway(read_settings(env), seed, now)
+                    continue
+                if who not in self.gateways:
+                    raise Malformed(f"an event for instance {who}, which is not up")
+                event = read_event(parts, self.lists)
+            except (ValueError, IndexError, Malformed) as error:
+                raise Malformed(f"{error} in line {lines[at - 1][:200]!r}") from error
+            if event is None:
+                continue
+            try:
+                actions = self.gateways[who].handle(event, now)
+            except Exception as error:  # the module's own failure ends the day with its text
+                actions = []
+                out += [f"speaking\t{who}", f"crash\t{type(error).__name__}: {error}".replace("\n", " ")]
+                speaking = who
+            if actions:
+                if speaking != who:
+                    out.append(f"speaking\t{who}")
+                    speaking = who
+                out += [write_action(action) for action in actions]
+        return out
+
+
+def serve(source: Iterable[str], sink: TextIO) -> None:
+    """Answers batches until the input ends."""
+    host = Host()
+    now: float | None = None
+    lines: list[str] = []
+    for raw in source:
+        line = raw.rstrip("\n")
+        if now is None:
+            parts = line.split("\t")
+            if not line:
+                continue
+            if parts[0] != "frame" or len(parts) < 2:
+                raise Malformed(f"expected a frame, got {line[:200]!r}")
+            try:
+                now = float(parts[1]) / 1000.0
+            except ValueError as error:
+                raise Malformed(f"a frame with no clock: {line[:200]!r}") from error
+            lines = []
+        elif line == "go":
+            sink.write("\n".join([*host.batch(now, lines), "next", ""]))
+            sink.flush()
+            now = None
+        else:
+            lines.append(line)
+    if now is not None:
+        raise Malformed("the input ended inside a batch")
+
+
+def main() -> int:
+    try:
+        serve(sys.stdin, sys.stdout)
+    except Malformed as error:
+        print(f"mulleinworks: malformed input: {error}", file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/mulleinworks/control.py
@@ -0,0 +1,727 @@
+"""Every decision of a gateway. Its types, events and actions stand in mulleinworks/interface.py."""
+
+from __future__ import annotations
+
+import random
+import zlib
+from collections import deque
+
+from mulleinworks.interface import (
+    Action, AttemptEnded, Backend, BackendList, Cancel, ClientLeft, Count, Counted, Event, Fail, ListKind,
+    Outcome, Plan, Refuse, Repeats, Request, RequestClass, Scope, Send, SetTimer, Settings, Status,
+    StreamBegun, Subscribe, TimerDue,
+)
+
+PERIOD = 1.0  # seconds a demand count covers; the design's own, and short against a client's patience
+HOLD_SHARE = 0.4  # of the aim that a request may wait for credit: the rest must do for the backend
+READING_LIFE = 2.5  # periods a reading decides the slice: outlives one lost call, not a silent counter
+DEMAND_BLEND = 0.5  # weight of the last period in the smoothed demand: a few requests a second make it jump
+NEED_SHARE = 0.8  # of the even slice asked for, or of the bank spent, from which a customer is worth counting
+LEAST_SLICE = 0.1  # of the even slice that is always kept, so that a customer who moves is not shut out
+EPOCH = 60.0  # seconds of use that one name of a thin customer adds up: the longest that a name may be kept
+COUNTED_GATEWAYS = 100.0  # a counter is taken to serve in full at first: each makes few calls a second
+SOON = 0.25  # of the period until the counter is told; of the burst unused until its sum is put right
+COUNT_MORE = 1.1  # times the counted part of thin requests for each prompt answer of the counter
+COUNT_LESS = 0.7  # and for a call it turns away or is late with: one call in five fails at most
+BLEND = 0.15  # weight of one sample in a backend's learned figures: about the last dozen answers count
+FORGET = 8.0  # seconds in which what is held against a backend halves: troubles last five to forty
+WORST = 8.0  # most that is held against one: it is drawn again after four halvings at the latest
+SHUN = 0.5  # what is held against a backend from which another draw is made in its place
+COLD_PART = 0.25  # of the work that would push a cold backend over, at most: chance and large work double it
+FULL_FOR = 15.0  # seconds a backend that turned a plan or a class away is passed over for it
+LATE_AT = 0.35  # of the aim from which an answer counts as late: short queues don't push a backend over
+START_LIMIT = 8.0  # attempts out at a backend, all gateways together, before anything is learned of it
+LEAST_LIMIT = 4.0  # the same once it is under pressure: less would leave the cores of a backend idle
+LEAST_OUT = 1.0  # attempts a gateway may always have out; the fraction of one is drawn
+OUT_LESS = 0.5  # taken from what is out, as its limit, for a late answer
+OUT_SLACK = 2.0  # attempts above what is out that a late answer leaves, less the half: chance alone needs it
+OUT_MORE = 0.5  # added for one in time while half of the limit is in use
+PASS_LESS = 0.7  # times the part that is sent on for a late answer
+PASS_MORE = 1.25  # and for one in time: it stands still where 38% are late
+LEAST_PART = 0.05  # of requests sent on, or counted: with less nothing would tell that it is over
+JUDGE_EVERY = 1.0  # seconds from which a judged answer counts in full: where more come each says less
+WORTH_WAITING = 0.5  # of the worth left after the aim for which an attempt is kept on until the deadline
+RETRY_SHARE = 0.15  # further attempts earned by each first one: bounds what retries add in a bad hour
+RETRY_STORE = 10.0  # further attempts that may be saved up: enough for one backend's sudden end
+CHOICES = 2  # candidates drawn for each send: two see the load, and more would herd on one gateway's view
+DRAWS = 8  # draws for these: with half of the fleet unfit one in 256 fails, and a scan is made
+EPS = 1e-9  # float slack where levels are compared
+
+
+class Throttle:
+    """Token bank and job buffer of one customer here, as one level: above nought credit, below units held.
+
+    A request is charged as it comes and leaves first come, once the credit without those behind covers it.
+    """
+
+    def __init__(
+        self, customer: str, plan: Plan, width: int, now: float, born: float, most_units: float = 0.0
+    ) -> None:
+        self.customer, self.plan, self.width = customer, plan, width
+        self.share = 1.0 / width
+        self.rate, self.bank = plan.rate * self.share, plan.burst * self.share
+        self.level, self.stamp = self.bank, now
+        self.queue: deque[Job] = deque()
+        self.held = self.timer = 0.0
+        self.open = 0
+        # this gateway's part of the ceiling, as far as refilled since its start: before that it may have sent
+        self.cap_depth, self.cap_rate = plan.ceiling_depth / width, plan.ceiling_rate / width
+        self.cap = min(self.cap_depth, self.cap_rate * (now - born))
+        self.second, self.asked, self.last_asked = -1, 0.0, 0.0
+        self.own = self.total = self.read_until = self.fresh_until = 0.0
+        self.counting = self.asking = False  # a timer to count, a reading that requests wait for, is out
+        self.added, self.reading = 0.0, ""  # what this gateway added to the name it reads, and that name
+        self.thin = width > 1 and 0 < plan.burst < most_units * width and plan.rate > 0
+        self.uncounted = 0.0  # units sent on that the counter has not been told, or told too much if below
+        self.calls: deque[tuple[str, float, float]] = deque()  # out: name, units asked for, amount to keep
+
+    def refill(self, now: float) -> None:
+        self.level = max(self.level, min(self.level + self.rate * (now - self.stamp), self.bank - self.held))
+        self.cap = min(self.cap_depth, self.cap + self.cap_rate * (now - self.stamp))
+        self.stamp = now
+
+    def set_share(self, share: float, now: float) -> None:
+        self.refill(now)
+        self.share = share
+        self.rate, self.bank = self.plan.rate * share, self.plan.burst * share
+        self.level = min(self.level, self.bank - self.held)
+
+    def wait(self, units: float) -> float:
+        """Seconds until the head of the buffer, or a newcomer to an empty one, may leave."""
+        wait = 0.0
+        short = min(units, self.bank) - (self.level + self.held)
+        if self.plan.rate > 0 and short > EPS:
+            wait = short / self.rate
+        if self.plan.ceiling_rate > 0 and units - self.cap > EPS:
+            wait = max(wait, (units - self.cap) / self.cap_rate)
+        return wait
+
+    def has_open(self) -> bool:
+        return self.plan.concurrency <= 0 or self.open < max(1, self.plan.concurrency // self.width)
+
+    def note_demand(self, units: float, now: float) -> None:
+        second = int(now // PERIOD)
+        if second != self.second:
+            self.last_asked = self.asked if second == self.second + 1 else 0.0
+            self.second, self.asked = second, 0.0
+        self.asked += units
+
+    def unhold(self, job: Job) -> None:
+        self.queue.remove(job)
+        self.held = self.held - job.request.units if self.queue else 0.0
+
+    def idle(self, now: float) -> bool:
+        self.refill(now)
+        full = (self.plan.rate <= 0 or self.level >= self.bank - EPS) and self.cap >= self.cap_depth - EPS
+        return full and not (self.queue or self.open or self.counting or self.calls or self.asking)
+
+
+class Job:
+    """A request this gateway owes an answer, with its attempts."""
+
+    def __init__(self, request: Request, klass: RequestClass, throttle: Throttle, now: float) -> None:
+        self.request, self.klass, self.throttle, self.arrived = request, klass, throttle, now
+        self.attempts: list[Attempt] = []
+        self.out, self.hold_until = 0, now
+        self.ended = self.streaming = self.settled = self.trusted = self.sure = False
+        self.counted = 0.0  # units the counter was told of it; below nought: it stays uncounted
+        self.risky: Attempt | None = None  # the first attempt not proven unrun
+
+
+class Attempt:
+    def __init__(self, server: Server, now: float, weight: float) -> None:
+        self.server, self.sent, self.weight = server, now, weight
+        self.out, self.unrun, self.overdue = True, False, False
+
+
+class Server:
+    """What this gateway knows of one backend."""
+
+    def __init__(self, backend: Backend, limit: float, now: float) -> None:
+        self.backend, self.touched = backend, now
+        self.flight = self.overdue = 0  # attempts out, and those of them that are late already
+        self.bad = 0.0  # what is held against it: doubles and one more for each failure, halves with time
+        self.full: dict[tuple[str, str], float] = {}  # class and plan: until when it is passed over
+        self.limit, self.least = limit, max(1.0, limit * LEAST_LIMIT / START_LIMIT)  # attempts out from here
+
+    def cold_share(self, now: float, settings: Settings) -> float:
+        """The least part of its capacity that it has now; 1 once it must be warm."""
+        age = settings.warm_within if self.backend.started is None else max(0.0, now - self.backend.started)
+        if age >= settings.warm_within:
+            return 1.0
+        return settings.cold_from + (1.0 - settings.cold_from) * age / settings.warm_within
+
+    def fade(self, now: float) -> None:
+        self.bad *= 0.5 ** ((now - self.touched) / FORGET)
+        self.touched = now
+
+
+class Gateway:
+    """Decides for one gateway, on its settings and the events that it is given, and on nothing else."""
+
+    def __init__(self, settings: Settings, seed: int, now: float) -> None:
+        check(settings)
+        self.settings = settings
+        self.classes = {c.name: c for c in settings.classes}
+        self.plans = {p.name: p for p in settings.plans}
+        self.random = random.Random(seed)
+        self.born = self.now = now
+        self.actions: list[Action] = []
+        self.servers: dict[str, Server] = {}
+        self.order: list[Server] = []  # those that serve, for drawing
+        self.drawn: Server | None = None  # the cold backend that the draw has let through
+        self.kinds: dict[str, float] = {}  # answer time of a kind of machine against the fleet's
+        self.jobs: dict[int, Job] = {}
+        self.throttles: dict[str, Throttle] = {}
+        self.sweep: deque[str] = deque()
+        self.usual: dict[tuple[str, float], float] = {}
+        self.fleet_fails, self.retry_credit = 0.0, RETRY_STORE
+        self.passed, self.judged = 1.0, now
+        self.flight, self.limit = 0, float("inf")  # attempts out and not late, and how many may be
+        self.quiet_until, self.count_fails = now, 0
+        self.counted_part = min(1.0, COUNTED_GATEWAYS / settings.gateways)
+        # part of the counted thin requests that had the credit, by plan and whether the slice covered them
+        self.granted = {(p.name, sure): float(sure) for p in settings.plans for sure in (False, True)}
+
+    def handle(self, event: Event, now: float) -> list[Action]:
+        self.now = max(self.now, now)
+        self.actions = []
+        if isinstance(event, Request):
+            self.arrive(event)
+        elif isinstance(event, AttemptEnded):
+            self.attempt_ended(event)
+        elif isinstance(event, TimerDue):
+            self.timer_due(event.key)
+        elif isinstance(event, Counted):
+            self.counted(event)
+        elif isinstance(event, BackendList):
+            self.list_changed(event)
+        elif isinstance(event, ClientLeft):
+            self.client_left(event.request)
+        elif isinstance(event, StreamBegun) and event.request in self.jobs:
+            self.jobs[event.request].streaming = True
+        return self.actions
+
+
+    def arrive(self, request: Request) -> None:
+        if request.id in self.jobs:
+            return
+        klass, plan = self.classes.get(request.klass), self.plans.get(request.plan)
+        if klass is None or plan is None or request.deadline <= self.now:
+            return self.actions.append(Refuse(request.id, 0.0))
+        throttle = self.throttles.get(request.customer) or self.join(request, plan)
+        self.jobs[request.id] = job = Job(request, klass, throttle, self.now)
+        units = request.units
+        throttle.refill(self.now)
+        throttle.note_demand(units, self.now)
+        bound = min(HOLD_SHARE * klass.aim, (request.deadline - self.now) / 2)
+        job.hold_until = self.now + bound
+        if throttle.thin:
+            self.read_level(job)
+        else:
+            self.start_counting(throttle)
+        if job.counted < 0 and not job.trusted:
+            return self.answer(job, PERIOD)
+        free = not throttle.queue and throttle.has_open() and not throttle.asking
+        if free and (job.trusted or throttle.wait(units) <= 0):
+            throttle.level -= units if plan.rate > 0 else 0.0
+            self.tell_later(job)
+            return self.place(job)
+        # the buffer: as many units as the rate brings within the wait bound
+        behind = throttle.wait(0.0 if throttle.queue else units)
+        if throttle.plan.rate > 0:
+            behind = max(behind, (min(units, throttle.bank) - throttle.level) / throttle.rate)
+        if behind > bound and not throttle.asking:
+            return self.answer(job, behind)
+        throttle.queue.append(job)
+        throttle.held += units
+        throttle.level -= units
+        self.release(throttle)
+        self.actions.append(SetTimer(max(bound, 1e-6), f"h{request.id}"))
+
+    def drop_held(self, job: Job) -> None:
+        throttle = job.throttle
+        throttle.unhold(job)
+        throttle.level += job.request.units
+        self.take_back(job)
+        self.answer(job, throttle.wait(job.request.units))
+
+    def release(self, throttle: Throttle) -> None:
+        """Lets go what the credit covers, turns away what waited too long, and sets the next exact timer."""
+        throttle.refill(self.now)
+        while throttle.queue and not throttle.asking:
+            job = throttle.queue[0]
+            wait = throttle.wait(job.request.units)
+            if job.ended or throttle.thin and self.now + wait > job.hold_until + EPS:
+                self.drop_held(job)
+            elif throttle.has_open() and wait <= EPS:
+                throttle.unhold(job)
+                self.tell_later(job)
+                self.place(job)
+            else:
+                due = self.now + wait
+                if throttle.has_open() and (throttle.timer <= self.now or due < throttle.timer - EPS):
+                    throttle.timer = due
+                    self.actions.append(SetTimer(max(wait, 1e-6), "r" + throttle.customer))
+                return
+
+    def join(self, request: Request, plan: Plan) -> Throttle:
+        """A throttle for a customer; two others are looked at, so that idle full ones go without a scan."""
+        for _ in range(min(2, len(self.sweep))):
+            customer = self.sweep.popleft()
+            old = self.throttles[customer]
+            if old.read_until < self.now and old.second < self.now // PERIOD and old.idle(self.now):
+                del self.throttles[customer]
+            else:
+                self.sweep.append(customer)
+        most = self.settings.most_units if self.settings.counter else 0.0
+        width = max(1, request.width or self.settings.gateways)
+        throttle = Throttle(request.customer, plan, width, self.now, self.born, most)
+        self.throttles[request.customer] = throttle
+        self.sweep.append(request.customer)
+        return throttle
+
+    def start_counting(self, throttle: Throttle) -> None:
+        """One timer a second for a customer with new use, at a moment that all its gateways share."""
+        if not self.settings.counter or throttle.counting or throttle.width < 2 or throttle.plan.rate <= 0:
+            return
+        throttle.counting = True
+        due = (self.now // PERIOD + 1 + (zlib.crc32(throttle.customer.encode()) % 997) / 1250) * PERIOD
+        self.actions.append(SetTimer(max(due - self.now, 1e-6), "c" + throttle.customer))
+
+    def add_demand(self, throttle: Throttle) -> None:
+        """Adds the finished second's demand; skips customers far from their quota, who could not need it."""
+        throttle.counting = False
+        if throttle.thin:
+            if throttle.uncounted and self.now >= self.quiet_until:
+                self.count_use(throttle, 0.0)
+            return
+        throttle.note_demand(0.0, self.now)
+        second, asked = throttle.second - 1, throttle.last_asked
+        throttle.own += DEMAND_BLEND * (asked / PERIOD - throttle.own)
+        throttle.refill(self.now)
+        if throttle.read_until < self.now:
+            throttle.set_share(1.0 / throttle.width, self.now)
+        if asked > 0 or throttle.asked > 0 or throttle.own > 0.05 * throttle.plan.rate:
+            self.start_counting(throttle)
+        even = throttle.plan.rate / throttle.width
+        needy = throttle.level < (1.0 - NEED_SHARE) * throttle.bank or throttle.own > NEED_SHARE * even
+        if self.now >= self.quiet_until and needy:
+            throttle.added = asked
+            if asked > 0:
+                self.actions.append(Count(f"{throttle.customer}.{second}", asked, 4 * PERIOD))
+            wait = max(self.settings.counter_patience, EPS)
+            self.actions.append(SetTimer(wait, f"d{second} {throttle.customer}"))
+        self.release(throttle)
+
+    def counted(self, event: Counted) -> None:
+        throttle = self.throttles.get(event.name.rpartition(".")[0])
+        if event.outcome is Outcome.SERVED:
+            self.count_fails = 0
+            if event.elapsed < self.settings.counter_patience / 4:
+                self.counted_part = min(1.0, self.counted_part * COUNT_MORE)
+        else:
+            self.count_fails = min(self.count_fails + 1, 4)  # it is left alone for longer: the even slice
+            self.quiet_until = self.now + PERIOD * 2 ** self.count_fails / 8
+            if event.outcome is not Outcome.NO_CONNECTION and self.count_fails < 3:  # crowded, not silent
+                self.counted_part = max(self.counted_part * COUNT_LESS, LEAST_PART)
+        if throttle is not None and throttle.thin:
+            self.level_read(throttle, event)
+        elif throttle is not None and event.outcome is Outcome.SERVED and event.name == throttle.reading:
+            throttle.reading = ""
+            self.read_total(throttle, event.total)
+
+    def read_total(self, throttle: Throttle, total: float) -> None:
+        if total < throttle.added * (1.0 - 1e-6) - EPS:
+            return  # counts were lost, not demand: the reading before stands
+        throttle.total += DEMAND_BLEND * (total / PERIOD - throttle.total)
+        throttle.total = max(throttle.total, throttle.own)
+        throttle.read_until = self.now + READING_LIFE * PERIOD
+        quota = throttle.plan.rate
+        room = (quota - throttle.total) / throttle.width
+        rate = throttle.own + room if room >= 0 else quota * throttle.own / throttle.total
+        throttle.set_share(max(rate / quota, LEAST_SLICE / throttle.width), self.now)
+        self.release(throttle)
+
+
+    def read_level(self, job: Job) -> None:
+        """Asks the counter for the customer's level where the slice at this gateway can't tell.
+
+        A slice is thin where many gateways share a quota: its bank never holds a request, and a second of its
+        demand is nought or one. There the room is not split: a reading tells the level of the whole quota,
+        from the units that all gateways sent on. Where the counter is crowded a part is counted for the rest.
+        """
+        throttle, units = job.throttle, job.request.units
+        even = self.now >= throttle.read_until
+        if even and throttle.share == 1.0:
+            throttle.set_share(1.0 / throttle.width, self.now)
+        if throttle.asking or self.now < max(throttle.fresh_until, self.quiet_until):
+            return
+        wait = throttle.wait(units)
+        if not even and wait > job.hold_until - self.now:
+            return  # too little, even if no other gateway has used any since
+        sure = wait <= 0 and (even or throttle.level >= throttle.bank / 2)
+        passes = not self.doubtful(throttle.plan, sure)
+        if self.random.random() >= self.counted_part:
+            job.counted, job.trusted = -1.0, passes
+            return
+        job.sure, job.counted = sure, units / self.counted_part if passes else units
+        throttle.asking = True
+        self.count_use(throttle, job.counted)
+
+    def doubtful(self, plan: Plan, sure: bool) -> bool:
+        """True where an uncounted request would more likely cost than earn, by those that were counted."""
+        granted = self.granted[plan.name, sure]
+        return granted + (1.0 - granted) * (plan.beyond_worth - plan.beyond_cost) < 0
+
+    def count_use(self, throttle: Throttle, asked: float, right: float = 0.0) -> None:
+        name = f"{throttle.customer}.{int(self.now // EPOCH)}"
+        throttle.calls.append((name, asked, throttle.uncounted + asked))
+        self.actions.append(Count(name, throttle.uncounted + asked + right, EPOCH))
+        throttle.uncounted = 0.0
+
+    def tell_later(self, job: Job) -> None:
+        if job.throttle.thin and job.counted == 0:
+            job.counted = job.request.units
+            self.tell_soon(job.throttle, job.counted)
+
+    def take_back(self, job: Job) -> None:
+        if job.throttle.thin and job.counted > 0:
+            self.tell_soon(job.throttle, -job.counted)
+            job.counted = 0.0
+
+    def tell_soon(self, throttle: Throttle, units: float) -> None:
+        throttle.uncounted += units
+        if not throttle.counting:
+            throttle.counting = True
+            self.actions.append(SetTimer(SOON * PERIOD / self.counted_part, "c" + throttle.customer))
+
+    def level_read(self, throttle: Throttle, event: Counted) -> None:
+        """Sets the level by the units sent on since the name's start; keeps the sum near a burst of it."""
+        call = next((c for c in throttle.calls if c[0] == event.name), None)
+        if call is None:
+            return
+        throttle.calls.remove(call)
+        if event.outcome is Outcome.SERVED:
+            burst = throttle.plan.burst
+            spare = throttle.plan.rate * (self.now % EPOCH) - event.total  # unused, were there no burst
+            if spare > burst and event.total <= call[2] + EPS:
+                self.count_use(throttle, 0.0, spare)  # a new or forgotten name: its first caller
+            elif call[2] and spare > SOON * burst:
+                self.count_use(throttle, 0.0, min(spare, burst / 2))  # others may be doing the same
+            throttle.set_share(1.0, self.now)
+            level = burst + spare + call[1]
+            first = throttle.queue[0] if throttle.queue else None
+            if call[1] > 0 and first is not None and first.counted > 0:
+                key = (throttle.plan.name, first.sure)
+                self.granted[key] += BLEND * ((level >= first.request.units) - self.granted[key])
+            if level < 0 < call[2] - call[1]:  # sent on beyond the quota, which takes nothing from it
+                self.tell_soon(throttle, -min(call[2] - call[1], -level))
+            throttle.level = min(burst, level) - throttle.held
+            throttle.fresh_until = self.now + PERIOD / 10
+            throttle.read_until = self.now + READING_LIFE * PERIOD
+        elif event.outcome is not Outcome.TIMED_OUT:
+            throttle.uncounted += call[2]
+        throttle.asking = False
+        self.release(throttle)
+
+
+    def usual_for(self, job: Job) -> float:
+        """Seconds such a request takes on the fleet."""
+        fallback = self.usual.get((job.klass.name, 0.0), job.klass.aim / 8)
+        return self.usual.get((job.klass.name, job.request.units), fallback)
+
+    def place(self, job: Job) -> None:
+        """Finds a backend for a request that has its credit, or turns it away."""
+        server = None if not job.attempts and self.pressed(job) else self.choose(job)
+        if server is None:
+            self.give_up(job)
+        else:
+            self.send(job, server)
+
+    def choose(self, job: Job) -> Server | None:
+        """The better of two that are drawn; more replace the unfit, and those that failed unless all did."""
+        pool = self.order
+        if job.risky is not None and job.klass.repeats is Repeats.BY_KEY:
+            pool = [s for s in pool if group_of(job.klass, s) == group_of(job.klass, job.risky.server)]
+        best, least, found = None, 0.0, 0
+        self.drawn = None
+        for number in range(DRAWS if pool else 0):
+            server = pool[int(self.random.random() * len(pool))]
+            if server.cold_share(self.now, self.settings) < 1.0:
+                if number == 0 and self.random.random() < self.cold_chance(server):
+                    self.drawn = server
+                    if self.may_send(job, server):
+                        return server
+                continue
+            cost = self.cost(job, server) if self.may_send(job, server) else -1.0
+            if cost >= 0 and (best is None or cost < least):
+                best, least = server, cost
+            found += cost >= 0
+            if found >= CHOICES and least < SHUN * job.klass.aim:
+                break
+        return best or next((s for s in pool if self.may_send(job, s)), None)
+
+    def cost(self, job: Job, server: Server) -> float:
+        server.fade(self.now)
+        again = sum(1 for a in job.attempts if a.server is server)
+        again += server.full.get((job.klass.name, job.throttle.plan.name), 0.0) > self.now
+        slow = self.kinds.get(server.backend.kind, 1.0) * (server.flight + 1.0)
+        return self.usual_for(job) * slow + (server.bad + server.overdue + again) * job.klass.aim
+
+    def cold_chance(self, server: Server) -> float:
+        """The part kept of draws that fall on a cold backend, alike at all gateways: of a warm one's work."""
+        part = min(1.0, self.settings.fall_multiple * COLD_PART) * (1.0 - self.fleet_fails)
+        return part * server.cold_share(self.now, self.settings)
+
+    def pressed(self, job: Job) -> bool:
+        """Sheds while answers are late, those with little credit first: overload no one backend shows."""
+        throttle = job.throttle
+        if self.flight >= self.limit + self.random.random() - 0.5:
+            return True
+        good = throttle.level + throttle.held >= throttle.bank / 2
+        return self.random.random() > 2 * self.passed - (0.0 if good else 1.0)
+
+    def judge(self, late: bool, server: Server) -> None:
+        """Moves the limits and the part that is sent on, whose steps scale with itself at any width."""
+        server.limit = moved(server.limit, late, server.flight, server.least)
+        least = max(LEAST_OUT, LEAST_LIMIT * len(self.order) / self.settings.gateways)
+        self.limit = moved(self.limit, late, self.flight, least)
+        weight = min(1.0, (self.now - self.judged) / JUDGE_EVERY)
+        self.judged = self.now
+        self.passed *= (PASS_LESS if late else PASS_MORE) ** weight
+        self.passed = min(max(self.passed, LEAST_PART), 1.0)
+
+    def give_up(self, job: Job) -> None:
+        throttle = job.throttle
+        if throttle.plan.rate > 0 and not job.attempts:
+            throttle.level = min(throttle.level + job.request.units, throttle.bank - throttle.held)
+            self.take_back(job)
+        self.answer(job, PERIOD)
+
+    def may_send(self, job: Job, server: Server) -> bool:
+        """The rules for one more attempt, each checked here and nowhere else."""
+        settings, first, plan = self.settings, job.risky, job.throttle.plan
+        if job.ended or job.streaming or self.now >= job.request.deadline:
+            return False
+        known = self.servers.get(server.backend.address) is server and server.flight < server.limit
+        if server.backend.status is not Status.SERVING or not known:
+            return False
+        if len(job.attempts) >= settings.max_attempts or (job.out and not settings.second_copies):
+            return False
+        if first is not None and job.klass.repeats is Repeats.ONCE:
+            return False
+        if first is not None and job.klass.repeats is Repeats.BY_KEY:
+            apart = group_of(job.klass, first.server) != group_of(job.klass, server)
+            if apart or self.now - first.sent >= job.klass.memory:
+                return False
+        if server.cold_share(self.now, settings) < 1.0 and server is not self.drawn:
+            return False
+        return bool(job.attempts) or plan.ceiling_rate <= 0 or job.request.units <= job.throttle.cap + EPS
+
+    def send(self, job: Job, server: Server) -> None:
+        """The one place where an attempt starts."""
+        if not self.may_send(job, server):
+            return self.give_up(job)
+        if not job.attempts:
+            job.throttle.cap -= job.request.units if job.throttle.plan.ceiling_rate > 0 else 0.0
+            self.retry_credit = min(self.retry_credit + RETRY_SHARE, RETRY_STORE)
+        attempt = Attempt(server, self.now, self.usual_for(job))
+        server.flight += 1
+        self.flight += 1
+        job.throttle.open += 1
+        job.out += 1
+        job.attempts.append(attempt)
+        job.risky = job.risky or attempt
+        self.actions.append(Send(job.request.id, server.backend.address, self.useful_until(job) - self.now))
+        late = max(LATE_AT * job.klass.aim, EPS)
+        self.actions.append(SetTimer(late, f"o{len(job.attempts) - 1} {job.request.id}"))
+
+    def useful_until(self, job: Job) -> float:
+        # an attempt is given up once its answer is worth little, or a backlog of such work builds up
+        end = job.arrived + job.klass.aim if job.klass.late_share < WORTH_WAITING else job.request.deadline
+        return min(job.request.deadline, max(end, self.now + LATE_AT * job.klass.aim))
+
+    def attempt_late(self, job: Job, attempt: Attempt) -> None:
+        attempt.overdue = True  # speaks at once, and no longer fills the limit that sound backends need
+        attempt.server.overdue += 1
+        self.flight -= 1
+        self.judge(True, attempt.server)
+
+
+    def attempt_ended(self, event: AttemptEnded) -> None:
+        job = self.jobs.get(event.request)
+        if job is None or not 0 <= event.attempt < len(job.attempts) or not job.attempts[event.attempt].out:
+            return
+        attempt = job.attempts[event.attempt]
+        attempt.out, attempt.unrun = False, event.outcome.never_ran
+        attempt.server.flight -= 1
+        attempt.server.overdue -= attempt.overdue
+        self.flight -= not attempt.overdue
+        job.out -= 1
+        job.throttle.open -= 1
+        job.risky = next((a for a in job.attempts if not a.unrun), None)
+        self.learn(job, attempt, event)
+        self.settle(job, event.true_units)
+        job.ended = job.ended or event.over
+        if not job.ended and not job.out:
+            self.after_failure(job, event.outcome)
+        if job.ended and not job.out:
+            self.jobs.pop(event.request, None)
+        if job.throttle.queue and job.throttle.plan.concurrency > 0:
+            self.release(job.throttle)
+
+    def settle(self, job: Job, true_units: float) -> None:
+        throttle = job.throttle
+        if true_units > 0 and not job.settled and throttle.plan.rate > 0:
+            job.settled = True
+            throttle.refill(self.now)
+            back = job.request.units - true_units
+            throttle.level = min(throttle.level + back, throttle.bank - throttle.held)
+            if throttle.thin and job.counted > 0:
+                throttle.uncounted -= back * job.counted / job.request.units
+            self.release(throttle)
+
+    def after_failure(self, job: Job, outcome: Outcome) -> None:
+        end = min(job.request.deadline, job.arrived + job.klass.aim)
+        # one turned away cost no work: only in overload does another come dear
+        free = outcome.never_ran and self.random.random() < self.passed
+        useful = outcome is not Outcome.TIMED_OUT and end - self.now > self.usual_for(job)
+        if useful and (free or self.retry_credit >= 1.0):
+            self.retry_credit -= 0.0 if free else 1.0
+            self.place(job)
+        else:
+            self.answer(job, PERIOD)
+
+    def learn(self, job: Job, attempt: Attempt, event: AttemptEnded) -> None:
+        server, outcome = attempt.server, event.outcome
+        if outcome in (Outcome.CANCELLED, Outcome.NOT_SENT):
+            return
+        server.fade(self.now)
+        kind = (job.klass.name, job.throttle.plan.name)
+        if outcome is Outcome.TURNED_AWAY:  # maybe for no other plan or class: no sign of its health
+            return server.full.update({kind: self.now + FULL_FOR})
+        bad, late = outcome is not Outcome.SERVED, event.elapsed > LATE_AT * job.klass.aim
+        self.fleet_fails += BLEND / 4 * ((bad or late) - self.fleet_fails)
+        if not attempt.overdue and outcome in (Outcome.SERVED, Outcome.TIMED_OUT):
+            self.judge(late, server)
+        if bad:
+            dead = outcome is Outcome.NO_CONNECTION  # no slowness of the fleet looks like this
+            server.bad = max(min(2 * server.bad + 1.0, WORST), WORST / 2 if dead else 0.0)
+            return None
+        server.bad /= 2
+        server.full.pop(kind, None)
+        for key in ((job.klass.name, job.request.units), (job.klass.name, 0.0)):
+            before = self.usual.get(key, event.elapsed)
+            self.usual[key] = before + BLEND / 3 * (event.elapsed - before)
+        name, slow = server.backend.kind, event.elapsed / max(attempt.weight, 1e-4)
+        self.kinds[name] = self.kinds.get(name, 1.0) + BLEND / 3 * (slow - self.kinds.get(name, 1.0))
+        return None
+
+
+    def answer(self, job: Job, retry_after: float) -> None:
+        """The one place where the gateway ends a request; refuses only where a retry is proven harmless."""
+        if job.ended or job.streaming:
+            return
+        job.ended = True
+        keyed = job.klass.repeats is Repeats.BY_KEY and job.klass.scope is Scope.ALL
+        harmless = keyed or job.klass.repeats is Repeats.SAFE
+        if job.risky is not None and not harmless:
+            self.actions.append(Fail(job.request.id))
+        else:
+            longest = self.settings.max_retry_after if self.settings.retry_after else 0.0
+            self.actions.append(Refuse(job.request.id, min(max(retry_after, 0.0), longest)))
+        self.call_off(job)
+        if not job.out:
+            self.jobs.pop(job.request.id, None)
+
+    def call_off(self, job: Job) -> None:
+        for number, attempt in enumerate(job.attempts):
+            if attempt.out and self.settings.may_cancel and not job.streaming:
+                self.actions.append(Cancel(job.request.id, number))
+
+    def client_left(self, request: int) -> None:
+        job = self.jobs.get(request)
+        if job is not None:
+            job.ended = True
+            self.call_off(job)
+            self.release(job.throttle)
+            if not job.out:
+                self.jobs.pop(request, None)
+
+    def timer_due(self, key: str) -> None:
+        if key == "list":
+            return self.actions.append(Subscribe())
+        kind, rest = key[:1], key[1:]
+        second, _, after = rest.partition(" ")
+        if kind in "oh":
+            job = self.jobs.get(int(after or rest))
+            if job is not None and kind == "o" and job.attempts[int(second)].out:
+                self.attempt_late(job, job.attempts[int(second)])
+            elif job is not None and kind == "h" and job in job.throttle.queue:
+                # each held one has its own end, wherever it stands: its client may have less patience
+                job.throttle.refill(self.now)
+                self.drop_held(job)
+                self.release(job.throttle)
+            return
+        rest = after if kind == "d" else rest
+        throttle = self.throttles.get(rest)
+        if throttle is None:
+            return
+        if kind == "r":
+            throttle.timer = 0.0
+            self.release(throttle)
+        elif kind == "c":
+            self.add_demand(throttle)
+        elif kind == "d" and self.now >= self.quiet_until:
+            throttle.reading = f"{rest}.{second}"
+            self.actions.append(Count(throttle.reading, 0.0, 4 * PERIOD))
+        return None
+
+    def list_changed(self, event: BackendList) -> None:
+        if event.kind is ListKind.FAILED:
+            delay = self.settings.ask_every / 8 * (0.5 + self.random.random())
+            return self.actions.append(SetTimer(max(delay, EPS), "list"))
+        if event.kind is not ListKind.CHANGES:
+            named = {b.address for b in event.backends}
+            self.servers = {a: s for a, s in self.servers.items() if a in named}
+        for backend in event.backends:
+            server = self.servers.get(backend.address)
+            if backend.status is Status.GONE:
+                self.servers.pop(backend.address, None)
+            elif server is None or server.backend.started != backend.started:
+                limit = max(1.0, START_LIMIT / self.settings.gateways)
+                self.servers[backend.address] = Server(backend, limit, self.now)
+            else:
+                server.backend = backend
+        self.order = [s for s in self.servers.values() if s.backend.status is Status.SERVING]
+        if event.kind is ListKind.REMEMBERED and not self.settings.list_pushed:
+            self.actions.append(Subscribe())
+
+
+def moved(limit: float, late: bool, out: int, least: float) -> float:
+    """A limit on what is out, after an answer: under what was out for a late one, more if it was in use."""
+    if late:
+        return max(min(limit, out + OUT_SLACK) - OUT_LESS, least)
+    return limit + OUT_MORE if out + 1 > limit / 2 else limit
+
+
+def group_of(klass: RequestClass, server: Server) -> str | int:
+    if klass.scope is Scope.ALL:
+        return ""
+    return server.backend.zone if klass.scope is Scope.ZONE else server.backend.cell
+
+
+def check(settings: Settings) -> None:
+    """ValueError with the name of a setting that makes no sense."""
+    if settings.gateways < 1 or settings.max_attempts < 1:
+        raise ValueError(f"settings: {'gateways' if settings.gateways < 1 else 'max_attempts'} is below 1")
+    names = ("warm_within", "overload_for", "fall_multiple", "cold_from", "max_retry_after", "ask_every")
+    sets: list[tuple[object, str, tuple[str, ...]]] = [(settings, "", names)]
+    figures = ("rate", "burst", "ceiling_rate", "ceiling_depth", "concurrency")
+    sets += [(plan, f" of plan {plan.name}", figures) for plan in settings.plans]
+    sets += [(klass, f" of class {klass.name}", ("aim", "deadline", "memory")) for klass in settings.classes]
+    for source, where, keys in sets:
+        for name in keys:
+            if getattr(source, name) < 0:
+                raise ValueError(f"settings: {name}{where} is below nought")
--- /dev/null
+++ b/mulleinworks/interface.py
@@ -0,0 +1,238 @@
+"""The types between a gateway and its decisions: settings, events and actions. All times are seconds."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Outcome(Enum):
+    """How an attempt, a probe or a counter call ended."""
+
+    SERVED = "served"
+    ERROR = "error"
+    TURNED_AWAY = "turned away"
+    TIMED_OUT = "timed out"
+    NO_CONNECTION = "no connection"
+    BROKEN = "broken"
+    CANCELLED = "cancelled"
+    NOT_SENT = "not sent"
+
+    @property
+    def never_ran(self) -> bool:
+        """True where this outcome proves that the backend did not run the attempt."""
+        return self in (Outcome.TURNED_AWAY, Outcome.NO_CONNECTION, Outcome.NOT_SENT)
+
+
+class Repeats(Enum):
+    """What a class allows once an attempt may have run."""
+
+    SAFE = "safe"
+    BY_KEY = "by key"
+    ONCE = "once"
+
+
+class Scope(Enum):
+    """Which backends drop a repeat of a keyed request."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class ListKind(Enum):
+    CHANGES = "changes"
+    WHOLE = "whole"
+    REMEMBERED = "remembered"
+    FAILED = "failed"
+
+
+class Status(Enum):
+    SERVING = "serving"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+@dataclass(frozen=True, slots=True)
+class RequestClass:
+    name: str
+    repeats: Repeats
+    scope: Scope
+    memory: float
+    aim: float
+    deadline: float
+    late_share: float
+    worth: float
+    stream: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    name: str
+    rate: float
+    burst: float
+    concurrency: int
+    ceiling_rate: float
+    ceiling_depth: float
+    worth_factor: float
+    beyond_worth: float
+    beyond_cost: float
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    me: int
+    gateways: int
+    classes: tuple[RequestClass, ...]
+    plans: tuple[Plan, ...]
+    zone: str
+    list_pushed: bool
+    ask_every: float
+    counter: bool
+    counter_patience: float
+    counter_price: float
+    may_cancel: bool
+    may_probe: bool
+    second_copies: bool
+    max_attempts: int
+    retry_after: bool
+    max_retry_after: float
+    cold_from: float
+    warm_within: float
+    fall_multiple: float
+    overload_for: float
+    report_fields: tuple[str, ...]
+    most_units: float
+    settles: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Backend:
+    address: str
+    zone: str
+    kind: str
+    cell: int
+    status: Status
+    rating: float
+    started: float | None
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """A client's try that has arrived; the gateway owes it one final answer."""
+
+    id: int
+    klass: str
+    plan: str
+    customer: str
+    deadline: float
+    units: float
+    width: int
+    first_gateway: int
+    repeat: bool
+
+
+@dataclass(frozen=True, slots=True)
+class BackendList:
+    kind: ListKind
+    backends: tuple[Backend, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ClientLeft:
+    request: int
+
+
+@dataclass(frozen=True, slots=True)
+class StreamBegun:
+    request: int
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptEnded:
+    request: int
+    attempt: int
+    backend: str
+    outcome: Outcome
+    elapsed: float
+    over: bool
+    true_units: float
+    load: tuple[float, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Counted:
+    name: str
+    outcome: Outcome
+    elapsed: float
+    total: float
+
+
+@dataclass(frozen=True, slots=True)
+class Probed:
+    backend: str
+    outcome: Outcome
+    elapsed: float
+    load: tuple[float, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class TimerDue:
+    key: str
+
+
+Event = Request | BackendList | ClientLeft | StreamBegun | AttemptEnded | Counted | Probed | TimerDue
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Start an attempt; a request's attempts are numbered from 0 in the order of their sends."""
+
+    request: int
+    backend: str
+    timeout: float
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """Final answer: turned away, and trying again does no harm."""
+
+    request: int
+    retry_after: float
+
+
+@dataclass(frozen=True, slots=True)
+class Fail:
+    """Final answer: failed, with no promise about its effect."""
+
+    request: int
+
+
+@dataclass(frozen=True, slots=True)
+class Cancel:
+    request: int
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class SetTimer:
+    delay: float
+    key: str
+
+
+@dataclass(frozen=True, slots=True)
+class Count:
+    """Add to a named number of the counter service and get its total."""
+
+    name: str
+    amount: float
+    forget_after: float
+
+
+@dataclass(frozen=True, slots=True)
+class Subscribe:
+    """Ask discovery for the list and its changes from now on."""
+
+
+Action = Send | Refuse | Fail | Cancel | SetTimer | Count | Subscribe
--- /dev/null
+++ b/tests/test_throttle.py
@@ -0,0 +1,138 @@
+"""Hand-worked cases of the throttle and the slice."""
+
+from __future__ import annotations
+
+import pytest
+
+from mulleinworks.control import Gateway, Throttle
+from mulleinworks.interface import Count, Counted, Outcome, Refuse, Send, SetTimer, TimerDue
+from tests.helpers import CAPPED, PLAN, SETTINGS, Watch, backend, backends, ended, gateway, request
+
+
+def sends(actions: list[object]) -> int:
+    return sum(isinstance(a, Send) for a in actions)
+
+
+def test_starts_full_then_holds_then_overflows() -> None:
+    made = gateway()  # even slice of two: rate 2, bank 4; an aim of 1 s holds for 0.4 s
+    for number in range(4):
+        assert sends(list(made.handle(request(number), 100.0))) == 1
+    # the bank is empty: one unit is half a second away, over the bound
+    actions = made.handle(request(4), 100.0)
+    assert isinstance(actions[-1], Refuse) and actions[-1].retry_after == pytest.approx(0.5)
+    # 0.3 s on 0.6 units are there: 0.2 s away, inside the bound, so it is held, and released exactly then
+    held = made.handle(request(5), 100.3)
+    assert sends(list(held)) == 0
+    timer = next(a for a in held if isinstance(a, SetTimer) and a.key.startswith("r"))
+    assert timer.delay == pytest.approx(0.2)
+    assert sends(list(made.handle(TimerDue(timer.key), 100.3 + timer.delay))) == 1
+
+
+def test_large_request_leaves_when_the_bank_is_full() -> None:
+    throttle = Throttle("c", PLAN, 4, 0.0, 0.0)  # rate 1, bank 2
+    assert throttle.wait(5.0) == 0.0
+    throttle.level = 1.0
+    assert throttle.wait(5.0) == pytest.approx(1.0)
+
+
+def test_held_units_do_not_count_as_bank() -> None:
+    throttle = Throttle("c", PLAN, 2, 0.0, 0.0)
+    throttle.level, throttle.held = -3.0, 3.0
+    throttle.refill(10.0)
+    assert throttle.level == pytest.approx(1.0)  # bank 4 less the 3 that are spoken for
+
+
+def test_settling_goes_below_nought_and_back() -> None:
+    made = gateway(settles=True)
+    made.handle(request(1, units=4.0), 100.0)
+    sent = next(iter(made.jobs.values())).attempts[0].server.backend.address
+    made.handle(ended(1, 0, sent, Outcome.SERVED, true_units=7.0), 100.0)
+    assert made.throttles["c"].level == pytest.approx(-3.0)
+
+
+def test_reading_moves_the_slice_and_silence_returns_it() -> None:
+    throttle = Throttle("c", PLAN, 2, 0.0, 0.0)
+    made = gateway()
+    throttle.own = 1.0
+    made.read_total(throttle, 4.0)  # smoothed to 2 of 4: own 1 and half the room of 2
+    assert throttle.rate == pytest.approx(2.0)
+    throttle.own = 3.0
+    made.read_total(throttle, 14.0)  # smoothed to 8, above the quota: 4 times 3/8
+    assert throttle.rate == pytest.approx(1.5)
+
+
+def test_lost_counts_are_not_lost_demand() -> None:
+    made = gateway()
+    throttle = Throttle("c", PLAN, 2, 0.0, 0.0)
+    throttle.own, throttle.added, throttle.total = 3.0, 3.0, 6.0
+    made.read_total(throttle, 0.0)  # less than this gateway added itself: the name was forgotten
+    assert throttle.total == 6.0
+
+
+def test_counter_calls_add_then_read_one_name() -> None:
+    watch = Watch(gateway())
+    watch.tell(backends(backend("a")))
+    for number in range(4):
+        watch.tell(request(number, deadline=108.0))
+    watch.run_to(102.0)
+    assert len(watch.counts) == 2 and watch.counts[0] == watch.counts[1]
+
+
+def test_failing_counter_is_left_alone() -> None:
+    made = gateway()
+    for number in range(4):
+        made.handle(request(number), 100.0)
+    made.handle(Counted("c.100", Outcome.NO_CONNECTION, 0.0, 0.0), 101.0)
+    assert not any(isinstance(a, Count) for a in made.handle(TimerDue("cc"), 101.1))
+
+
+def test_ceiling_grants_only_what_refilled_since_start() -> None:
+    made = gateway()
+    first = made.handle(request(1, plan="capped"), 100.0)  # just started: nothing has refilled yet
+    assert sends(list(first)) == 0
+    later = gateway(now=50.0)
+    assert sends(list(later.handle(request(1, plan="capped"), 100.0))) == 1
+    assert Throttle("c", CAPPED, 2, 100.0, 99.0).cap == pytest.approx(3.0)
+
+
+def test_a_new_throttle_is_not_swept_and_idle_full_ones_are() -> None:
+    made = gateway()
+    made.handle(request(1), 100.0)
+    assert "c" in made.throttles
+    where = made.jobs[1].attempts[0].server.backend.address
+    made.handle(ended(1, 0, where, Outcome.SERVED), 100.1)
+    for second in range(101, 106):
+        made.handle(TimerDue("cc"), float(second))
+    for number in range(2, 5):
+        made.handle(request(number, customer=f"other{number}", deadline=204.0), 200.0)
+    assert "c" not in made.throttles
+
+
+def test_open_cap_is_held_by_each_gateway() -> None:
+    made = gateway()  # two attempts open in all, over two gateways: one here
+    assert sends(list(made.handle(request(1, plan="open"), 100.0))) == 1
+    assert sends(list(made.handle(request(2, plan="open"), 100.0))) == 0
+    where = made.jobs[1].attempts[0].server.backend.address
+    assert sends(list(made.handle(ended(1, 0, where, Outcome.SERVED), 100.1))) == 1
+
+
+@pytest.mark.parametrize("plan", ["rate", "burst"])
+def test_settings_below_nought_are_named(plan: str) -> None:
+    from dataclasses import replace
+    wrong = replace(PLAN, rate=-1.0) if plan == "rate" else replace(PLAN, burst=-1.0)
+    bad = replace(SETTINGS, plans=(wrong,))
+    with pytest.raises(ValueError, match=plan):
+        Gateway(bad, 1, 0.0)
+
+
+def test_a_held_request_behind_the_head_is_answered_in_its_own_time() -> None:
+    """Found on a day of impatient clients: only the head of the buffer was looked at."""
+    watch = Watch(gateway())
+    watch.tell(backends(backend("a"), backend("b", 1)))
+    for number in range(4):
+        watch.tell(request(number, "pay", deadline=106.0))
+    watch.tell(request(4, "pay", deadline=106.0))  # held: half a second to go, of 0.8
+    watch.tell(request(5, "pay", deadline=101.04, units=0.01))  # behind it, with 0.52 to go
+    watch.gateway.throttles["c"].set_share(0.001, 100.0)  # and then the slice moves elsewhere
+    watch.run_to(100.9)
+    assert isinstance(watch.answered[5], Refuse) and isinstance(watch.answered[4], Refuse)
