--- a/mulleinworks/adapter.py
+++ b/embersill/adapter.py
@@ -7,8 +7,8 @@
 from collections.abc import Iterable
 from typing import Any, TextIO
 
-from mulleinworks.control import Gateway
-from mulleinworks.interface import (
+from embersill.control import Gateway
+from embersill.interface import (
     Action, AttemptEnded, Backend, BackendList, Cancel, ClientLeft, Count, Counted, Event, Fail, ListKind,
     Outcome, Plan, Probed, Refuse, Repeats, Request, RequestClass, Scope, Send, SetTimer, Settings, Status,
     StreamBegun, Subscribe, TimerDue,
@@ -255,7 +255,7 @@
     try:
         serve(sys.stdin, sys.stdout)
     except Malformed as error:
-        print(f"mulleinworks: malformed input: {error}", file=sys.stderr)
+        print(f"embersill: malformed input: {error}", file=sys.stderr)
         return 2
     return 0
 
--- a/mulleinworks/control.py
+++ b/embersill/control.py
@@ -1,4 +1,4 @@
-"""Every decision of a gateway. Its types, events and actions stand in mulleinworks/interface.py."""
+"""Every decision of a gateway. Its types, events and actions stand in embersill/interface.py."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 import zlib
 from collections import deque
 
-from mulleinworks.interface import (
+from embersill.interface import (
     Action, AttemptEnded, Backend, BackendList, Cancel, ClientLeft, Count, Counted, Event, Fail, ListKind,
     Outcome, Plan, Refuse, Repeats, Request, RequestClass, Scope, Send, SetTimer, Settings, Status,
     StreamBegun, Subscribe, TimerDue,
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -4,8 +4,8 @@
 
 from dataclasses import replace
 
-from mulleinworks.control import Gateway
-from mulleinworks.interface import (
+from embersill.control import Gateway
+from embersill.interface import (
     Action,
     AttemptEnded,
     Backend,
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from mulleinworks.adapter import Host, Malformed, read_settings, serve
+from embersill.adapter import Host, Malformed, read_settings, serve
 
 HERE = pathlib.Path(__file__).parent
 FRAMES = (HERE / "batch.txt").read_text()
@@ -48,14 +48,14 @@
 
 
 def test_malformed_input_ends_with_one_plain_line() -> None:
-    done = subprocess.run([sys.executable, "-m", "mulleinworks.adapter"], input="rubbish\n", text=True,
+    done = subprocess.run([sys.executable, "-m", "embersill.adapter"], input="rubbish\n", text=True,
                           capture_output=True, cwd=HERE.parent, check=False)
     assert done.returncode != 0 and done.stdout == ""
     assert len(done.stderr.strip().splitlines()) == 1 and "malformed" in done.stderr
 
 
 def test_an_exception_goes_out_as_crash(monkeypatch: pytest.MonkeyPatch) -> None:
-    from mulleinworks.control import Gateway
+    from embersill.control import Gateway
 
     def fail(*_: object) -> None:
         raise RuntimeError("it broke")
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -8,8 +8,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from mulleinworks.control import Gateway
-from mulleinworks.interface import (
+from embersill.control import Gateway
+from embersill.interface import (
     ClientLeft, Fail, ListKind, Outcome, Refuse, Send, SetTimer, Status, TimerDue,
 )
 from tests.helpers import CAPPED, SETTINGS, Watch, backend, backends, ended, gateway, request
--- a/tests/test_throttle.py
+++ b/tests/test_throttle.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from mulleinworks.control import Gateway, Throttle
-from mulleinworks.interface import Count, Counted, Outcome, Refuse, Send, SetTimer, TimerDue
+from embersill.control import Gateway, Throttle
+from embersill.interface import Count, Counted, Outcome, Refuse, Send, SetTimer, TimerDue
 from tests.helpers import CAPPED, PLAN, SETTINGS, Watch, backend, backends, ended, gateway, request
 
 
--- a/tests/test_together.py
+++ b/tests/test_together.py
@@ -8,8 +8,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from mulleinworks.control import Gateway
-from mulleinworks.interface import (
+from embersill.control import Gateway
+from embersill.interface import (
     Action, BackendList, Count, Counted, ListKind, Outcome, Plan, Probed, Refuse, Request, Send, SetTimer,
     TimerDue,
 )
