The gateway on sockets: clients, backends, discovery, counter, driver

Cause: there was a decision module and no program. python -m embersill now serves; the settings reader moves to settings.py, which both programs use.

Checked with a parser alone: httptools' should_keep_alive is False once on_message_complete has returned, so no connection was used again. It is now read inside that call, at backends and discovery; measured next.

--- /dev/null
+++ b/embersill/__main__.py
@@ -0,0 +1,169 @@
+"""The gateway: reads its configuration, starts the parts, and stops in order on SIGTERM."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import json
+import logging
+import os
+import signal
+import sys
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import uvloop
+
+from embersill.control import Gateway
+from embersill.interface import ListKind, Settings
+from embersill.net.backends import Pool
+from embersill.net.clients import Front
+from embersill.net.counter import Counter
+from embersill.net.discovery import BadList, Discovery, Listing, read_address, read_listing
+from embersill.net.driver import Driver
+from embersill.settings import Limits, read_limits, read_settings
+
+RESERVE = 64  # descriptors kept for the listener, discovery, the counter, and what the run-time itself needs
+CLIENTS_PART = 0.5  # of the other descriptors: the rest is for backends
+FIRST_LIST_WITHIN = 1.0  # seconds to wait for discovery's own word before the remembered list must do
+STILL_COMING = 0.5  # seconds after SIGTERM in which clients still connect, by the protocol, and a little
+ALL_ANSWERED = 3.4  # seconds after SIGTERM by which all is answered: it may be killed 0.3 s later
+
+
+class BadConfiguration(Exception):
+    """The gateway can't start with what it was told."""
+
+
+@dataclass(frozen=True, slots=True)
+class Configuration:
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    counter: tuple[str, int] | None
+    seed: int
+    sockets: int
+    known: Listing
+    settings: Settings
+    limits: Limits
+
+
+def read_configuration(environ: dict[str, str]) -> Configuration:
+    """RELAY_CONFIG's file; the other variables hold parts of it and go before it where they are set."""
+    path = environ.get("RELAY_CONFIG")
+    if not path:
+        raise BadConfiguration("RELAY_CONFIG is not set")
+    try:
+        with open(path, encoding="utf-8") as file:
+            told = json.load(file)
+        return build_configuration(told, environ)
+    except OSError as error:
+        raise BadConfiguration(f"{path}: {error.strerror}") from error
+    except KeyError as error:
+        raise BadConfiguration(f"{path}: {error.args[0]} is missing") from error
+    except (ValueError, TypeError, AttributeError, BadList) as error:
+        raise BadConfiguration(f"{path}: {' '.join(str(error).split())}") from error
+
+
+def build_configuration(told: dict[str, Any], environ: dict[str, str]) -> Configuration:
+    settings = read_settings(told["settings"])
+    counter = read_address(told["counter"]) if settings.counter else None
+    sockets = int(told["limits"]["sockets"])
+    if sockets < 2 * RESERVE:
+        raise ValueError(f"limits: sockets is below {2 * RESERVE}")
+    return Configuration(
+        name=str(environ.get("RELAY_NAME") or told["name"]),
+        listen=read_address(environ.get("RELAY_LISTEN") or told["listen"]),
+        discovery=read_address(environ.get("RELAY_DISCOVERY") or told["discovery"]),
+        counter=counter,
+        seed=int(told["seed"], 16), sockets=sockets,
+        known=read_listing(told["known"], ListKind.REMEMBERED), settings=settings,
+        limits=read_limits(told["settings"]),
+    )
+
+
+def start_clock() -> Callable[[], float]:
+    """Unix time that never jumps: periods and backends' starts are told by it at every gateway alike."""
+    began = time.time() - time.monotonic()
+    monotonic = time.monotonic
+    return lambda: began + monotonic()
+
+
+class Program:
+    """The parts of one gateway, from start to stop."""
+
+    def __init__(self, told: Configuration) -> None:
+        clock = start_clock()
+        self.loop = asyncio.get_running_loop()
+        free = told.sockets - RESERVE
+        clients = int(free * CLIENTS_PART)
+        self.pool = Pool(clock, told.limits.dial_timeout, told.limits.keepalive, free - clients)
+        self.driver = Driver(Gateway(told.settings, told.seed, clock()), clock, self.pool)
+        if told.counter is not None:
+            self.driver.counter = Counter(
+                clock, told.counter, told.settings.counter_patience, told.limits.dial_timeout,
+                self.driver.counter_told)
+        self.driver.list_told(told.known)
+        self.discovery = Discovery(told.discovery, told.limits.dial_timeout, self.driver.list_told)
+        self.front = Front(self.driver, told.settings, clock, clients, self.serves)
+        self.listen = told.listen
+        self.settled = False  # the list is discovery's own, or as good as can be had
+
+    def serves(self) -> bool:
+        return self.settled and bool(self.driver.serving)
+
+    async def run(self) -> None:
+        stop = asyncio.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(number, stop.set)
+        self.front.listen(self.listen)
+        following = self.loop.create_task(self.discovery.run())
+        try:
+            async with asyncio.timeout(FIRST_LIST_WITHIN):
+                await self.discovery.heard.wait()
+        except TimeoutError:
+            pass
+        self.settled = True
+        gc.freeze()  # what start-up made stays: no need to look through it again
+        await stop.wait()
+        await self.stop()
+        following.cancel()
+
+    async def stop(self) -> None:
+        """Takes what still comes, answers all of it, and leaves nothing behind."""
+        self.front.stopping = True
+        await asyncio.sleep(STILL_COMING)
+        self.front.stop_listening()
+        self.front.close_idle()
+        if not await self.driver.wait_answered(ALL_ANSWERED - STILL_COMING):
+            self.driver.rescue_all()
+        self.front.close_idle()
+        while any(not c.drained() for c in self.front.connections):
+            await asyncio.sleep(0.01)
+        self.pool.close()
+        if self.driver.counter is not None:
+            self.driver.counter.close()
+
+
+async def serve(told: Configuration) -> None:
+    await Program(told).run()
+
+
+def main() -> int:
+    logging.basicConfig(format="%(name)s: %(message)s", level=logging.WARNING)
+    try:
+        told = read_configuration(dict(os.environ))
+    except BadConfiguration as error:
+        print(f"embersill: {error}", file=sys.stderr)
+        return 2
+    try:
+        uvloop.run(serve(told))
+    except OSError as error:
+        print(f"embersill: {error}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/embersill/net/discovery.py
@@ -0,0 +1,173 @@
+"""Discovery: the whole list once, then one watch after the other, over one connection."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, cast
+
+import httptools
+
+from embersill.interface import Backend, ListKind, Status
+from embersill.settings import STATUSES
+
+WATCH_MS = 4000  # a watch's wait: a silent agent is noticed soon after it
+ANSWER_WITHIN = 2.0  # seconds past the wait that an answer may take before the call counts as failed
+FIRST_BACK_OFF, MOST_BACK_OFF = 0.05, 1.0  # seconds before a failed call is made again: doubled each time
+MOST_LIST = 4 * 1024 * 1024  # bytes: a fleet of thousands fits
+
+
+class BadList(Exception):
+    """A list that the protocol does not allow, or no list at all."""
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    backend: Backend
+    address: tuple[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    kind: ListKind
+    generation: int
+    entries: tuple[Entry, ...]
+
+    @property
+    def whole(self) -> bool:
+        return self.kind is not ListKind.CHANGES
+
+
+def read_address(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ValueError(f"not an address: {text!r}")
+    return host.strip("[]"), int(port)
+
+
+def read_entry(entry: dict[str, Any]) -> Entry:
+    started = float(entry.get("startedAtMs") or 0.0) / 1000.0
+    status = STATUSES[entry["lifecycle"]]
+    backend = Backend(
+        address=str(entry["instanceId"]), zone=str(entry.get("zone", "")),
+        kind=str(entry.get("machineType", "")), cell=int(entry.get("cell", 0)), status=status,
+        rating=float(entry.get("weight", 1.0)), started=started or None,
+    )
+    host_port = entry.get("hostPort")
+    gone = status is Status.GONE and not host_port  # nothing is dialled there any more
+    return Entry(backend, ("", 0) if gone else read_address(str(host_port)))
+
+
+def read_listing(loaded: Any, kind: ListKind | None = None) -> Listing:
+    """A list in discovery's form; BadList says what is wrong with it."""
+    try:
+        entries = tuple(read_entry(e) for e in loaded["instances"])
+        told = kind or (ListKind.WHOLE if loaded["reset"] else ListKind.CHANGES)
+        return Listing(told, int(loaded["generation"]), entries)
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise BadList(f"{type(error).__name__}: {error}") from error
+
+
+class DiscoveryConnection(asyncio.Protocol):
+    """One connection to the agent; a call's answer, or its end, resolves the call's future."""
+
+    def __init__(self) -> None:
+        self.transport: asyncio.Transport | None = None
+        self.answer: asyncio.Future[bytes] | None = None
+        self.parser = httptools.HttpResponseParser(self)
+        self.body = bytearray()
+        self.keep = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)  # uvloop's is one in all but its bases
+
+    def ask(self, target: str, host: str) -> asyncio.Future[bytes]:
+        assert self.transport is not None
+        self.body.clear()
+        self.answer = asyncio.get_running_loop().create_future()
+        self.transport.write(f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
+        return self.answer
+
+    def fail(self, why: str) -> None:
+        if self.answer is not None and not self.answer.done():
+            self.answer.set_exception(BadList(why))
+        if self.transport is not None:
+            self.transport.abort()
+
+    def on_body(self, body: bytes) -> None:
+        self.body += body
+
+    def on_message_complete(self) -> None:
+        if self.answer is None or self.answer.done():
+            return
+        self.keep = self.parser.should_keep_alive()  # the parser knows only while in this call
+        status = self.parser.get_status_code()
+        if status == 200:
+            self.answer.set_result(bytes(self.body))
+        else:
+            self.answer.set_exception(BadList(f"status {status}"))
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self.fail(str(error))
+        if len(self.body) > MOST_LIST:
+            self.fail("an oversized list")
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.fail("the connection ended")
+
+
+class Discovery:
+    """Follows the list for as long as it runs, and tells every answer in order."""
+
+    def __init__(
+        self, address: tuple[str, int], dial_timeout: float, told: Callable[[Listing], None]
+    ) -> None:
+        self.address, self.dial_timeout, self.told = address, dial_timeout, told
+        self.host = f"{address[0]}:{address[1]}"
+        self.heard = asyncio.Event()  # set once discovery has answered at all
+        self.connection: DiscoveryConnection | None = None
+        self.generation: int | None = None
+
+    async def run(self) -> None:
+        back_off = FIRST_BACK_OFF
+        while True:
+            try:
+                listing = await self.call()
+            except (OSError, TimeoutError, BadList, ValueError):
+                self.drop()
+                await asyncio.sleep(back_off)
+                back_off = min(2 * back_off, MOST_BACK_OFF)
+                continue
+            back_off = FIRST_BACK_OFF
+            self.generation = listing.generation
+            self.told(listing)
+            self.heard.set()
+
+    async def call(self) -> Listing:
+        if self.generation is None:
+            target, wait = "/v1/endpoints", 0.0
+        else:
+            target = f"/v1/endpoints?since={self.generation}&timeout_ms={WATCH_MS}"
+            wait = WATCH_MS / 1000.0
+        connection = self.connection or await self.connect()
+        async with asyncio.timeout(wait + ANSWER_WITHIN):
+            body = await connection.ask(target, self.host)
+        if not connection.keep:
+            self.drop()
+        return read_listing(json.loads(body))
+
+    async def connect(self) -> DiscoveryConnection:
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(self.dial_timeout):
+            _, self.connection = await loop.create_connection(DiscoveryConnection, *self.address)
+        return self.connection
+
+    def drop(self) -> None:
+        connection, self.connection = self.connection, None
+        if connection is not None and connection.transport is not None:
+            connection.transport.abort()
--- /dev/null
+++ b/embersill/net/driver.py
@@ -0,0 +1,257 @@
+"""Joins the decision module to the sockets: events in, actions out, one final answer a request.
+
+Nothing is chosen here. What happened becomes an event of the module; its actions are carried out in their
+order. The one exception is the guard that answers a request which would otherwise go without, and logs it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from embersill.control import Gateway
+from embersill.interface import (
+    Action, AttemptEnded, Backend, BackendList, Cancel, ClientLeft, Count, Counted, Event, Fail, Outcome,
+    Refuse, Request, Send, SetTimer, Status, TimerDue,
+)
+from embersill.net.backends import Answer, Attempt, Pool
+from embersill.net.counter import Counter
+from embersill.net.discovery import Listing
+
+EARLY = 0.05  # seconds before the client's end at which the module takes a request to be over: the budget
+# runs from the client's send, and the answer has its way back
+GUARD = 0.025  # seconds before the client's end at which an unanswered request is failed by the guard
+SCANT = 0.25  # of the budget, at most, that these two may take
+
+log = logging.getLogger("embersill")
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """A client's request in the protocol's terms, as it goes to the module and to backends."""
+
+    received: float
+    budget: float
+    klass: str
+    plan: str
+    customer: str
+    units: float
+    width: int
+    first_gateway: int
+    repeat: bool
+    head: bytes  # request line and headers for a backend, but for the budget and the blank line
+    body: bytes
+
+
+class Exchange(Protocol):
+    """Where a request's answer goes."""
+
+    def answer(self, status: int, body: bytes, headers: bytes = b"") -> None: ...
+
+
+class Pending:
+    """A request that was taken, until it has its answer and the last of its attempts has ended."""
+
+    __slots__ = ("attempts", "call", "end", "exchange", "guard", "number", "out", "over")
+
+    def __init__(self, number: int, call: Call, exchange: Exchange) -> None:
+        self.number, self.call, self.exchange = number, call, exchange
+        self.end = call.received + call.budget - min(EARLY, SCANT * call.budget)
+        self.attempts: list[Attempt] = []
+        self.out, self.over = 0, False
+        self.guard: asyncio.TimerHandle | None = None
+
+
+class Driver:
+    """Owns the one Gateway of this process."""
+
+    def __init__(self, gateway: Gateway, clock: Callable[[], float], pool: Pool) -> None:
+        self.gateway, self.clock, self.pool = gateway, clock, pool
+        self.counter: Counter | None = None
+        self.loop = asyncio.get_running_loop()
+        self.pending: dict[int, Pending] = {}
+        self.unanswered = 0
+        self.taken = 0
+        self.all_answered = asyncio.Event()
+        self.serving: set[str] = set()  # backends that the list shows as serving
+        self.events: deque[tuple[Event, float]] = deque()
+        self.handling = False
+        self.carry: dict[type, Callable[..., None]] = {
+            Send: self.send, SetTimer: self.set_timer, Refuse: self.refuse, Fail: self.fail,
+            Cancel: self.cancel, Count: self.count,
+        }
+
+    # what happened
+
+    def take(self, call: Call, exchange: Exchange) -> int:
+        """A client's request; its number is the module's name for it."""
+        self.taken += 1
+        pending = Pending(self.taken, call, exchange)
+        self.pending[pending.number] = pending
+        self.unanswered += 1
+        end = call.received + call.budget - min(GUARD, SCANT * call.budget / 2)
+        pending.guard = self.loop.call_later(max(end - self.clock(), 0.0), self.rescue, pending)
+        self.post(Request(
+            pending.number, call.klass, call.plan, call.customer, pending.end, call.units, call.width,
+            call.first_gateway, call.repeat,
+        ))
+        return pending.number
+
+    def client_left(self, number: int) -> None:
+        pending = self.pending.get(number)
+        if pending is not None and not pending.over:
+            self.finish(pending)
+            self.post(ClientLeft(number))
+
+    def list_told(self, listing: Listing) -> None:
+        backends: list[Backend] = []
+        for entry in listing.entries:
+            backend = entry.backend
+            backends.append(backend)
+            if backend.status is Status.SERVING:
+                self.pool.set_address(backend.address, entry.address)
+                self.serving.add(backend.address)
+            else:
+                self.pool.retire(backend.address)
+                self.serving.discard(backend.address)
+        if listing.whole:
+            named = {b.address for b in backends}
+            self.pool.forget_others(named)
+            self.serving &= named
+        self.post(BackendList(listing.kind, tuple(backends)))
+
+    def counter_told(self, counted: Counted) -> None:
+        self.post(counted)
+
+    def timer_due(self, key: str, due: float) -> None:
+        # the loop counts whole milliseconds and may come early: for the module a timer is never early
+        self.post(TimerDue(key), due)
+
+    def attempt_ended(self, pending: Pending, place: int, attempt: Attempt, answer: Answer) -> None:
+        pending.out -= 1
+        if answer.outcome is Outcome.SERVED and not pending.over:
+            self.finish(pending, 200, answer.body, answer.headers)
+        elapsed = self.clock() - attempt.sent_at
+        over = pending.over
+        self.post(AttemptEnded(
+            pending.number, place, attempt.backend, answer.outcome, elapsed, over, answer.units, ()))
+        self.forget(pending)
+
+    # the module
+
+    def post(self, event: Event, due: float = 0.0) -> None:
+        """Hands an event on; one that an action brings about waits until all actions are carried out."""
+        self.events.append((event, due))
+        if self.handling:
+            return
+        self.handling = True
+        try:
+            while self.events:
+                event, due = self.events.popleft()
+                self.handle(event, due)
+        finally:
+            self.handling = False
+
+    def handle(self, event: Event, due: float) -> None:
+        try:
+            for action in self.gateway.handle(event, max(self.clock(), due)):
+                self.act(action)
+        except Exception:  # one event that goes wrong must not take the other requests with it
+            log.exception("the event %r went wrong", event)
+
+    def act(self, action: Action) -> None:
+        carry = self.carry.get(type(action))
+        if carry is not None:  # the one other is Subscribe: discovery is followed all the time
+            carry(action)
+
+    # what the module wants
+
+    def send(self, action: Send) -> None:
+        pending = self.pending.get(action.request)
+        if pending is None:
+            return log.warning("a send for request %d, which is over and done", action.request)
+        now, place = self.clock(), len(pending.attempts)
+        until = pending.end if action.timeout <= 0 else min(pending.end, now + action.timeout)
+        attempt = Attempt(
+            action.backend, pending.call.head, pending.call.body, now, until,
+            lambda attempt, answer: self.attempt_ended(pending, place, attempt, answer),
+        )
+        pending.attempts.append(attempt)
+        pending.out += 1
+        if pending.over or now >= pending.end:
+            return attempt.end(Answer(Outcome.NOT_SENT))
+        return self.pool.start(attempt)
+
+    def cancel(self, action: Cancel) -> None:
+        pending = self.pending.get(action.request)
+        if pending is not None and action.attempt < len(pending.attempts):
+            pending.attempts[action.attempt].end(Answer(Outcome.CANCELLED))
+
+    def refuse(self, action: Refuse) -> None:
+        advice = b"Retry-After: %.3f\r\n" % action.retry_after if action.retry_after > 0 else b""
+        self.finish_number(action.request, 429, b"", advice)
+
+    def fail(self, action: Fail) -> None:
+        self.finish_number(action.request, 502)
+
+    def set_timer(self, action: SetTimer) -> None:
+        due = self.clock() + action.delay
+        self.loop.call_later(action.delay, self.timer_due, action.key, due)
+
+    def count(self, action: Count) -> None:
+        if self.counter is None:
+            return self.post(Counted(action.name, Outcome.NO_CONNECTION, 0.0, 0.0))
+        return self.counter.add(action.name, action.amount, action.forget_after)
+
+    # final answers
+
+    def finish_number(self, number: int, status: int, body: bytes = b"", headers: bytes = b"") -> None:
+        pending = self.pending.get(number)
+        if pending is not None and not pending.over:
+            self.finish(pending, status, body, headers)
+            self.forget(pending)
+
+    def finish(self, pending: Pending, status: int = 0, body: bytes = b"", headers: bytes = b"") -> None:
+        """The one place where a request ends; with no status its client is gone and hears nothing."""
+        pending.over = True
+        self.unanswered -= 1
+        if not self.unanswered:
+            self.all_answered.set()
+        if pending.guard is not None:
+            pending.guard.cancel()
+        if status:
+            pending.exchange.answer(status, body, headers)
+        for attempt in pending.attempts:
+            if not (attempt.ended or attempt.written):  # it must not be written for a request that is over
+                attempt.end(Answer(Outcome.NOT_SENT))
+
+    def forget(self, pending: Pending) -> None:
+        if pending.over and not pending.out:
+            self.pending.pop(pending.number, None)
+
+    def rescue(self, pending: Pending) -> None:
+        """The guard: the module should have ended this request by now, and its client's time is up."""
+        if not pending.over:
+            log.warning("request %d had no answer from the module at its end", pending.number)
+            self.finish(pending, 504)
+            self.post(ClientLeft(pending.number))
+            self.forget(pending)
+
+    def rescue_all(self) -> None:
+        for pending in list(self.pending.values()):
+            self.rescue(pending)
+
+    async def wait_answered(self, at_most: float) -> bool:
+        """Waits until nothing that was taken is unanswered; False if that took too long."""
+        end = self.clock() + at_most
+        while self.unanswered:
+            self.all_answered.clear()
+            try:
+                await asyncio.wait_for(self.all_answered.wait(), max(end - self.clock(), 0.0))
+            except TimeoutError:
+                return False
+        return True
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -11,7 +11,8 @@
 
 import pytest
 
-from embersill.adapter import Host, Malformed, read_settings, serve
+from embersill.adapter import Host, Malformed, serve
+from embersill.settings import read_settings
 
 HERE = pathlib.Path(__file__).parent
 FRAMES = (HERE / "batch.txt").read_text()
