--- a/embersill/__main__.py
+++ b/embersill/__main__.py
@@ -108,6 +108,7 @@
         self.discovery = Discovery(told.discovery, told.limits.dial_timeout, self.driver.list_told)
         self.front = Front(self.driver, told.settings, clock, clients, self.serves)
         self.listen = told.listen
+        self.following: asyncio.Task[None] | None = None
         self.settled = False  # the list is discovery's own, or as good as can be had
 
     def serves(self) -> bool:
@@ -117,30 +118,35 @@
         stop = asyncio.Event()
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, stop.set)
+        await self.start()
+        gc.freeze()  # what start-up made stays: no need to look through it again
+        await stop.wait()
+        await self.stop()
+
+    async def start(self) -> None:
         self.front.listen(self.listen)
-        following = self.loop.create_task(self.discovery.run())
+        self.following = self.loop.create_task(self.discovery.run())
         try:
             async with asyncio.timeout(FIRST_LIST_WITHIN):
                 await self.discovery.heard.wait()
         except TimeoutError:
             pass
         self.settled = True
-        gc.freeze()  # what start-up made stays: no need to look through it again
-        await stop.wait()
-        await self.stop()
-        following.cancel()
 
-    async def stop(self) -> None:
+    async def stop(self, still_coming: float = STILL_COMING, all_answered: float = ALL_ANSWERED) -> None:
         """Takes what still comes, answers all of it, and leaves nothing behind."""
         self.front.stopping = True
-        await asyncio.sleep(STILL_COMING)
+        await asyncio.sleep(still_coming)
         self.front.stop_listening()
         self.front.close_idle()
-        if not await self.driver.wait_answered(ALL_ANSWERED - STILL_COMING):
+        if not await self.driver.wait_answered(all_answered - still_coming):
             self.driver.rescue_all()
         self.front.close_idle()
         while any(not c.drained() for c in self.front.connections):
             await asyncio.sleep(0.01)
+        if self.following is not None:
+            self.following.cancel()
+            self.discovery.drop()
         self.pool.close()
         if self.driver.counter is not None:
             self.driver.counter.close()
--- /dev/null
+++ b/tests/bed.py
@@ -0,0 +1,129 @@
+"""One whole gateway in the test's own loop, with scripted peers around it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from typing import Any
+
+import uvloop
+
+from embersill.__main__ import Program, build_configuration
+from tests.peers import (
+    HOST, SOON, Asked, BackendPeer, CounterPeer, DiscoveryPeer, read_message, settings_text,
+)
+
+CUSTOMER = "00000000000000c1"
+
+
+def run(test: Callable[[], Awaitable[None]]) -> None:
+    async def bounded() -> None:
+        async with asyncio.timeout(3 * SOON):
+            await test()
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(bounded())
+
+
+def request(
+    number: int, klass: str = "lookup", budget: float = 5.0, plan: str = "basis", customer: str = CUSTOMER,
+    units: str = "1", body: bytes = b"typed text", drop: str = "", **more: str,
+) -> bytes:
+    """A client's request; `drop` leaves a header out, and `more` replaces or adds some."""
+    get = klass == "lookup"
+    headers = {
+        "Host": "backend.local", "X-Call-Id": f"{number:016x}", "X-Call-Class": klass, "Plan": plan,
+        "X-Budget": f"{budget:.3f}", "Quota-Info": f"units={units},spread=2,first=0",
+    }
+    if klass == "report":
+        headers["Idempotency-Key"] = f"key{number:029x}"
+    if not get:
+        headers["Content-Length"] = str(len(body))
+    headers.update({k.replace("_", "-"): v for k, v in more.items()})
+    headers.pop(drop, None)
+    lines = [f"{'GET' if get else 'POST'} /api?client={customer} HTTP/1.1"]
+    lines += [f"{k}: {v}" for k, v in headers.items()]
+    return "\r\n".join([*lines, "", ""]).encode() + (b"" if get else body)
+
+
+class Client:
+    """A client's connection, written to by hand."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+
+    def send(self, text: bytes) -> None:
+        self.writer.write(text)
+
+    async def answer(self) -> tuple[int, dict[str, str], bytes]:
+        async with asyncio.timeout(SOON):
+            first, headers, body = await read_message(self.reader)
+        return int(first.split()[1]), headers, body
+
+    async def ask(self, text: bytes) -> tuple[int, dict[str, str], bytes]:
+        self.send(text)
+        return await self.answer()
+
+    async def closed(self) -> bool:
+        """Waits for the gateway to close; False if it sends something more first."""
+        async with asyncio.timeout(SOON):
+            return await self.reader.read(1) == b""
+
+
+class Bed:
+    def __init__(self, backends: int) -> None:
+        self.backends = [BackendPeer() for _ in range(backends)]
+        self.discovery, self.counter = DiscoveryPeer(), CounterPeer()
+        self.port = 0
+        self.program: Program
+
+    async def start(self, env: dict[str, Any], sockets: int) -> None:
+        for peer in (*self.backends, self.discovery, self.counter):
+            await peer.start()
+        entries = [self.discovery.entry(f"b{n}", b.address) for n, b in enumerate(self.backends)]
+        self.discovery.entries = {e["instanceId"]: e for e in entries}
+        told = self.told(env, sockets)
+        configuration = build_configuration(told, {})
+        self.program = Program(configuration)
+        self.program.listen = (HOST, 0)
+        await self.program.start()
+        assert self.program.front.listener is not None
+        self.port = self.program.front.listener.getsockname()[1]
+
+    def told(self, env: dict[str, Any], sockets: int) -> dict[str, Any]:
+        return {
+            "name": "n0", "listen": f"{HOST}:1", "discovery": self.discovery.address,
+            "counter": self.counter.address, "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+            "known": {"generation": 1, "reset": True, "instances": list(self.discovery.entries.values())},
+            "settings": env,
+        }
+
+    async def client(self) -> Client:
+        return Client(*await asyncio.open_connection(HOST, self.port))
+
+    def seen(self) -> list[Asked]:
+        return [asked for b in self.backends for asked in b.seen]
+
+
+def roomy_settings(**limits: Any) -> dict[str, Any]:
+    """The settings with a first plan wide enough that its requests go on at once and uncounted."""
+    env = settings_text(**limits)
+    env["packages"][0].update(peak_units=400.0, units_per_s=100.0)
+    return env
+
+
+@asynccontextmanager
+async def running(
+    backends: int = 1, env: dict[str, Any] | None = None, sockets: int = 1024
+) -> AsyncIterator[Bed]:
+    bed = Bed(backends)
+    await bed.start(env or roomy_settings(), sockets)
+    try:
+        yield bed
+    finally:
+        if not bed.program.front.stopping:
+            await bed.program.stop(0.0, 0.0)
+        for peer in (*bed.backends, bed.discovery, bed.counter):
+            await peer.stop()
--- /dev/null
+++ b/tests/test_backends.py
@@ -0,0 +1,234 @@
+"""How attempts end, over loopback sockets: what is known not to have run is told from what may have."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+
+from embersill.interface import Outcome
+from embersill.net.backends import MOST_BODY, Answer, Attempt, Pool
+from tests.bed import run
+from tests.peers import HOST, Asked, BackendPeer, Step, message
+
+HEAD = b"POST /api HTTP/1.1\r\nX-Call-Id: 1\r\nContent-Length: 2\r\n"
+
+
+class Sender:
+    """A pool with one backend, and attempts whose ends are waited for."""
+
+    def __init__(self, pool: Pool) -> None:
+        self.pool = pool
+
+    def start(self, wait: float = 5.0, body: bytes = b"ab") -> tuple[Attempt, asyncio.Future[Answer]]:
+        ended: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+        now = self.pool.clock()
+        head = HEAD.replace(b"2\r", b"%d\r" % len(body))
+        attempt = Attempt("b", head, body, now, now + wait, lambda _, answer: ended.set_result(answer))
+        self.pool.start(attempt)
+        return attempt, ended
+
+    async def outcome(self, wait: float = 5.0) -> Outcome:
+        return (await self.start(wait)[1]).outcome
+
+
+@asynccontextmanager
+async def sending(*script: Step, keepalive: float = 60.0) -> AsyncIterator[tuple[Sender, BackendPeer]]:
+    peer = BackendPeer()
+    await peer.start()
+    peer.script = list(script)
+    pool = Pool(asyncio.get_running_loop().time, 0.25, keepalive, 10)
+    host, _, port = peer.address.rpartition(":")
+    pool.set_address("b", (host, int(port)))
+    yield Sender(pool), peer
+    pool.close()
+    await peer.stop()
+
+
+def says(text: bytes, close: bool = False) -> Step:
+    def step(writer: asyncio.StreamWriter, asked: Asked) -> None:
+        writer.write(text)
+        if close:
+            writer.close()
+
+    return step
+
+
+def cuts(writer: asyncio.StreamWriter, asked: Asked) -> None:
+    writer.transport.abort()
+
+
+@pytest.mark.parametrize(("text", "outcome"), [
+    (message(200, b"x"), Outcome.SERVED),
+    (b"HTTP/1.1 100 Continue\r\n\r\n" + message(200, b"x"), Outcome.SERVED),
+    (message(200, b"x", "Connection: close"), Outcome.SERVED),
+    (message(200, b"x") + message(200, b"y"), Outcome.SERVED),
+    (message(500), Outcome.ERROR),
+    (message(204), Outcome.ERROR),
+    (message(503), Outcome.ERROR),
+    (message(500, b"", "X-Rejected: 1"), Outcome.ERROR),
+    (message(503, b"", "X-Rejected: 1"), Outcome.TURNED_AWAY),
+    (message(504, b"", "X-Rejected: 1"), Outcome.TURNED_AWAY),
+    (message(504, b"", "X-Rejected: 0"), Outcome.ERROR),
+    (b"rubbish\r\n\r\n", Outcome.BROKEN),
+    (message(200, b"x" * MOST_BODY), Outcome.SERVED),
+    (message(200, b"x" * (MOST_BODY + 1)), Outcome.BROKEN),
+])
+def test_an_answer_tells_whether_the_attempt_ran(text: bytes, outcome: Outcome) -> None:
+    async def test() -> None:
+        async with sending(says(text)) as (sender, peer):
+            assert await sender.outcome() is outcome
+            assert await sender.outcome() is Outcome.SERVED  # whatever it was, the next attempt is not hurt
+            assert len(peer.seen) == 2
+
+    run(test)
+
+
+@pytest.mark.parametrize("step", [
+    cuts, says(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab", close=True), says(b"", close=True),
+    says(b"HTTP/1.1 200 OK\r\n\r\nab", close=True),
+])
+def test_a_connection_that_breaks_after_the_write_may_have_run(step: Step) -> None:
+    async def test() -> None:
+        async with sending(step) as (sender, _):
+            assert await sender.outcome() is Outcome.BROKEN
+
+    run(test)
+
+
+def test_a_kept_connection_that_is_dead_after_the_write_is_no_free_retry() -> None:
+    async def test() -> None:
+        async with sending(says(message(200)), cuts) as (sender, peer):
+            assert await sender.outcome() is Outcome.SERVED
+            assert await sender.outcome() is Outcome.BROKEN
+            assert len(peer.seen) == 2 and peer.connections == 1
+
+    run(test)
+
+
+def test_a_refused_connection_never_ran() -> None:
+    async def test() -> None:
+        async with sending() as (sender, peer):
+            await peer.stop()
+            assert await sender.outcome() is Outcome.NO_CONNECTION
+
+    run(test)
+
+
+def test_a_request_that_was_not_written_whole_never_ran() -> None:
+    # the kernel takes a part of a large body; the rest is still here when the connection breaks
+    async def test() -> None:
+        started = asyncio.Event()
+
+        async def takes_little(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readexactly(10)
+            started.set()
+            await asyncio.sleep(0)
+            writer.transport.abort()
+
+        server = await asyncio.start_server(takes_little, HOST, 0, limit=16)
+        async with sending() as (sender, _):
+            sender.pool.set_address("b", server.sockets[0].getsockname())
+            _, ended = sender.start(body=b"x" * 30_000_000)
+            assert (await ended).outcome is Outcome.NO_CONNECTION
+        server.close()
+
+    run(test)
+
+
+def test_time_out_and_cancel_close_the_connection() -> None:
+    async def test() -> None:
+        async with sending(says(b""), says(b"")) as (sender, peer):
+            assert await sender.outcome(0.05) is Outcome.TIMED_OUT
+            attempt, ended = sender.start()
+            await peer.until(lambda: len(peer.seen) == 2)
+            attempt.end(Answer(Outcome.CANCELLED))
+            assert (await ended).outcome is Outcome.CANCELLED
+            await peer.until(lambda: peer.ended == 2)
+            assert not sender.pool.connections or await sender.outcome() is Outcome.SERVED
+
+    run(test)
+
+
+@asynccontextmanager
+async def hanging() -> AsyncIterator[tuple[Sender, socket.socket]]:
+    """A backend whose connections do not come up until its full backlog is accepted."""
+    with socket.socket() as listener, socket.socket() as filler:
+        listener.bind((HOST, 0))
+        listener.listen(0)
+        filler.connect(listener.getsockname())
+        pool = Pool(asyncio.get_running_loop().time, 30.0, 60.0, 10)
+        pool.set_address("b", listener.getsockname())
+        yield Sender(pool), listener
+        pool.close()
+
+
+@pytest.mark.parametrize("way", ["drain", "gone", "end", "time-out"])
+def test_an_attempt_that_waits_for_its_connection_is_not_written_afterwards(way: str) -> None:
+    # a drain's grace and a request's end pass while a dial is under way: the bytes must not follow them
+    async def test() -> None:
+        async with hanging() as (sender, listener):
+            attempt, ended = sender.start(0.05 if way == "time-out" else 20.0)
+            await asyncio.sleep(0)
+            assert sender.pool.dialling
+            if way == "drain":
+                sender.pool.retire("b")
+            elif way == "gone":
+                sender.pool.forget_others([])
+            elif way == "end":
+                attempt.end(Answer(Outcome.NOT_SENT))
+            assert (await ended).outcome.never_ran
+            await asyncio.sleep(0)
+            assert not sender.pool.dialling and not sender.pool.connections
+            assert not attempt.written
+
+    run(test)
+
+
+def test_a_dial_that_does_not_come_up_ends_in_time() -> None:
+    async def test() -> None:
+        async with hanging() as (sender, _):
+            sender.pool.dial_timeout = 0.05
+            assert await sender.outcome() is Outcome.NO_CONNECTION
+
+    run(test)
+
+
+def test_idle_connections_are_closed_well_before_the_backend_does() -> None:
+    async def test() -> None:
+        now = 0.0
+        async with sending(keepalive=10.0) as (sender, peer):
+            sender.pool.clock = lambda: now
+            assert await sender.outcome() is Outcome.SERVED
+            now = 4.9
+            assert await sender.outcome() is Outcome.SERVED and peer.connections == 1
+            now = 10.0
+            assert await sender.outcome() is Outcome.SERVED and peer.connections == 2
+            now = 16.0
+            sender.pool.sweep()
+            await peer.until(lambda: peer.ended == 2)
+
+    run(test)
+
+
+def test_the_pool_is_bounded_and_idle_connections_make_way() -> None:
+    async def test() -> None:
+        async with sending(says(b""), says(b"")) as (sender, peer):
+            sender.pool.most = 2
+            first, _ = sender.start()
+            second, _ = sender.start()
+            assert await sender.outcome() is Outcome.NO_CONNECTION
+            await peer.until(lambda: len(peer.seen) == 2)
+            first.end(Answer(Outcome.CANCELLED))
+            await peer.until(lambda: peer.ended == 1)
+            assert await sender.outcome() is Outcome.SERVED
+            sender.pool.set_address("c", sender.pool.addresses["b"])
+            ended: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+            now = sender.pool.clock()
+            sender.pool.start(Attempt("c", HEAD, b"ab", now, now + 5, lambda _, a: ended.set_result(a)))
+            await peer.until(lambda: peer.ended >= 2)
+
+    run(test)
--- /dev/null
+++ b/tests/test_clients.py
@@ -0,0 +1,192 @@
+"""The HTTP server side, over loopback sockets: what is taken, what is turned away, and in which order."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from embersill.net.clients import MOST_BODY, MOST_HEAD
+from tests.bed import Bed, Client, request, run, running
+from tests.peers import Asked, serve
+
+
+def with_bed(test: Callable[[Bed, Client], Awaitable[None]]) -> None:
+    async def inside() -> None:
+        async with running() as bed:
+            await test(bed, await bed.client())
+
+    run(inside)
+
+
+def test_a_request_goes_on_unchanged_and_so_does_its_answer() -> None:
+    async def test(bed: Bed, client: Client) -> None:
+        status, _, body = await client.ask(request(0xabc, "report", body=b"Vestergade 1"))
+        assert (status, body) == (200, b"served 0000000000000abc")
+        first, headers, sent = bed.seen()[0]
+        assert first == "POST /api?client=00000000000000c1 HTTP/1.1" and sent == b"Vestergade 1"
+        assert headers["idempotency-key"] == f"key{0xabc:029x}"
+        assert 0 < float(headers["x-budget"]) <= 5.0
+
+    with_bed(test)
+
+
+def test_connections_on_both_sides_are_used_again() -> None:
+    # the parser forgets whether to keep a connection once its callback is over: asked later, it said no
+    async def test(bed: Bed, client: Client) -> None:
+        for number in range(5):
+            assert (await client.ask(request(number)))[0] == 200
+        assert bed.backends[0].connections == 1
+
+    with_bed(test)
+
+
+def test_pipelined_requests_are_answered_in_order_though_the_first_takes_longest() -> None:
+    async def test(bed: Bed, client: Client) -> None:
+        both = asyncio.Event()
+
+        async def answer(writer: asyncio.StreamWriter, asked: Asked) -> None:
+            if asked[1]["x-call-id"].endswith("1"):
+                await both.wait()
+            serve(writer, asked)
+            both.set()
+
+        bed.backends[0].script = [answer, answer]
+        client.send(request(1) + request(2))
+        for number in (1, 2):
+            assert (await client.answer())[2] == f"served {number:016x}".encode()
+
+    with_bed(test)
+
+
+def test_a_long_pipeline_is_answered_whole() -> None:
+    # reading stops while enough requests wait, and has to go on again; the module may refuse some of so many
+    async def test(bed: Bed, client: Client) -> None:
+        client.send(b"".join(request(n, "report", body=b"x" * 5000) for n in range(60)))
+        for number in range(60):
+            status, _, body = await client.answer()
+            assert status == 429 or body == f"served {number:016x}".encode()
+
+    with_bed(test)
+
+
+def test_split_and_chunked_requests_arrive_whole() -> None:
+    async def test(bed: Bed, client: Client) -> None:
+        text = request(7, "extract", drop="Content-Length", Transfer_Encoding="chunked", body=b"")
+        text += b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+        for place in range(len(text)):
+            client.send(text[place:place + 1])
+            await client.writer.drain()
+            await asyncio.sleep(0)
+        assert (await client.answer())[0] == 200
+        assert bed.seen()[0][2] == b"abcde" and bed.seen()[0][1]["content-length"] == "5"
+
+    with_bed(test)
+
+
+def test_a_half_closed_client_still_gets_its_answer() -> None:
+    async def test(bed: Bed, client: Client) -> None:
+        client.send(request(1))
+        client.writer.write_eof()
+        assert (await client.answer())[0] == 200
+        assert await client.closed()
+
+    with_bed(test)
+
+
+@pytest.mark.parametrize(("text", "status"), [
+    (b"rubbish\r\n\r\n", 400),
+    (b"GET /api HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", 400),
+    (request(1, drop="X-Call-Id"), 400),
+    (request(1, drop="X-Call-Class"), 400),
+    (request(1, drop="Plan"), 400),
+    (request(1, drop="X-Budget"), 400),
+    (request(1, drop="Quota-Info"), 400),
+    (request(1, "report", drop="Idempotency-Key"), 400),
+    (request(1, "extract", Idempotency_Key="k"), 400),
+    (request(1, X_Budget="soon"), 400),
+    (request(1, X_Budget="nan"), 400),
+    (request(1, X_Budget="-1"), 400),
+    (request(1, Plan="gold"), 400),
+    (request(1, X_Call_Class="order"), 400),
+    (request(1, X_Call_Id="a b"), 400),
+    (request(1, Quota_Info="units=2"), 400),
+    (request(1, Quota_Info="units=0,spread=2,first=0"), 400),
+    (request(1, customer="xyz"), 400),
+    (request(1).replace(b"Plan: basis", b"Plan: basis\r\nPlan: pro"), 400),
+    (request(1).replace(b"/api?", b"/other?"), 404),
+    (b"GET /health HTTP/1.1\r\nHost: x\r\n\r\n", 404),
+    (request(1).replace(b"GET ", b"DELETE "), 405),
+    (request(1).replace(b"GET ", b"POST "), 405),
+    (b"POST /ready HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", 405),
+    (request(1, "extract", body=b"x" * (MOST_BODY + 1)), 413),
+    (request(1, "extract", drop="Content-Length", body=b"", Transfer_Encoding="chunked")
+     + b"20000\r\n" + b"x" * 0x20000 + b"\r\n0\r\n\r\n", 413),
+    (b"GET /api HTTP/1.1\r\nX-Long: " + b"x" * (4 * MOST_HEAD), 431),
+])
+def test_bad_input_is_told_and_reaches_nobody(text: bytes, status: int) -> None:
+    async def test(bed: Bed, client: Client) -> None:
+        told, _, body = await client.ask(text)
+        assert told == status and len(body.splitlines()) <= 1
+        assert bed.program.driver.taken == 0 and not bed.seen()
+        assert (await (await bed.client()).ask(request(2)))[0] == 200  # and the process goes on
+
+    with_bed(test)
+
+
+def test_the_largest_body_passes() -> None:
+    async def test(bed: Bed, client: Client) -> None:
+        assert (await client.ask(request(1, "extract", body=b"x" * MOST_BODY)))[0] == 200
+
+    with_bed(test)
+
+
+def test_a_reset_client_is_an_event_and_its_attempt_is_called_off() -> None:
+    async def test(bed: Bed, client: Client) -> None:
+        def took(writer: asyncio.StreamWriter, asked: Asked) -> None:
+            gone.set()
+
+        gone = asyncio.Event()
+        bed.backends[0].script = [took]
+        client.send(request(1))
+        await gone.wait()  # the backend has it, and answers nothing
+        client.writer.transport.abort()
+        await bed.backends[0].until(lambda: bed.backends[0].ended == 1)
+        assert not bed.program.driver.unanswered and not bed.program.driver.pending
+
+    with_bed(test)
+
+
+def test_a_full_house_makes_room_by_idle_connections_only() -> None:
+    async def test(bed: Bed, client: Client) -> None:
+        free = asyncio.Event()
+
+        async def late(writer: asyncio.StreamWriter, asked: Asked) -> None:
+            await free.wait()
+            serve(writer, asked)
+
+        bed.backends[0].script = [late]
+        bed.program.front.most = 2
+        client.send(request(1))
+        await bed.backends[0].until(lambda: len(bed.backends[0].seen) == 1)
+        idle, third = await bed.client(), await bed.client()
+        assert (await idle.ask(request(2)))[0] == 200
+        assert (await third.ask(request(3)))[0] == 200
+        assert await idle.closed()
+        free.set()
+        assert (await client.answer())[0] == 200
+
+    with_bed(test)
+
+
+def test_ready_follows_the_list() -> None:
+    async def test(bed: Bed, client: Client) -> None:
+        ask = b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"
+        assert (await client.ask(ask))[0] == 200
+        asked = len(bed.discovery.asked)
+        await bed.discovery.change(bed.discovery.entry("b0", bed.backends[0].address, "DRAINING"))
+        await bed.discovery.until_asked(asked + 1)
+        assert (await client.ask(ask))[0] == 503
+
+    with_bed(test)
