--- a/embersill/__main__.py
+++ b/embersill/__main__.py
@@ -30,6 +30,7 @@
 FIRST_LIST_WITHIN = 1.0  # seconds to wait for discovery's own word before the remembered list must do
 STILL_COMING = 0.5  # seconds after SIGTERM in which clients still connect, by the protocol, and a little
 ALL_ANSWERED = 3.4  # seconds after SIGTERM by which all is answered: it may be killed 0.3 s later
+LAST_BYTES = 0.25  # seconds for clients to take what was written to them
 
 
 class BadConfiguration(Exception):
@@ -142,8 +143,7 @@
         if not await self.driver.wait_answered(all_answered - still_coming):
             self.driver.rescue_all()
         self.front.close_idle()
-        while any(not c.drained() for c in self.front.connections):
-            await asyncio.sleep(0.01)
+        await self.front.wait_drained(LAST_BYTES)
         if self.following is not None:
             self.following.cancel()
             self.discovery.drop()
--- a/embersill/net/backends.py
+++ b/embersill/net/backends.py
@@ -68,7 +68,12 @@
 
     def time_out(self) -> None:
         # one that still waits for its connection was never written, so it is known not to have run
-        self.end(Answer(Outcome.TIMED_OUT if self.written else Outcome.NO_CONNECTION))
+        connection = self.connection
+        self.end(Answer(Outcome.TIMED_OUT if connection is not None else Outcome.NO_CONNECTION))
+        if connection is not None:
+            # a machine that is cut off leaves its kept connections open and silent: what is written to them
+            # may have run, while a dial that does not come up is known not to have
+            connection.pool.drop_idle(self.backend)
 
 
 class BackendConnection(asyncio.Protocol):
@@ -206,15 +211,17 @@
         self.idle_limit = keepalive * IDLE_PART
         self.loop = asyncio.get_running_loop()
         self.addresses: dict[str, tuple[str, int]] = {}
+        self.starts: dict[str, float | None] = {}
         self.idle: dict[str, list[BackendConnection]] = {}
         self.connections: set[BackendConnection] = set()
         self.dialling: set[Attempt] = set()
         self.sweeper = self.loop.call_later(SWEEP_EVERY, self.sweep)
 
-    def set_address(self, backend: str, address: tuple[str, int]) -> None:
-        if self.addresses.get(backend) != address:
+    def set_address(self, backend: str, address: tuple[str, int], started: float | None = None) -> None:
+        """Where a backend listens; connections to where it was, or to before its restart, are of no use."""
+        if self.addresses.get(backend) != address or self.starts.get(backend) != started:
             self.drop_idle(backend)
-            self.addresses[backend] = address
+            self.addresses[backend], self.starts[backend] = address, started
 
     def retire(self, backend: str) -> None:
         """For one that drains or is gone: nothing is written to it from now on, not even what is dialling."""
@@ -226,7 +233,7 @@
         """After a whole list: what it does not name is gone."""
         for backend in self.addresses.keys() - set(known):
             self.retire(backend)
-            del self.addresses[backend]
+            del self.addresses[backend], self.starts[backend]
 
     def drop_idle(self, backend: str) -> None:
         for connection in self.idle.pop(backend, []):
--- a/embersill/net/clients.py
+++ b/embersill/net/clients.py
@@ -414,6 +414,12 @@
                 self.listener.close()
                 self.listener = None
 
+    async def wait_drained(self, at_most: float) -> None:
+        """Waits until the kernel has every answer, but not for ever on a client that reads nothing."""
+        end = self.clock() + at_most
+        while any(not c.drained() for c in self.connections) and self.clock() < end:
+            await asyncio.sleep(0.01)
+
     def close_idle(self) -> None:
         for connection in list(self.connections):
             if connection.is_idle():
--- a/embersill/net/driver.py
+++ b/embersill/net/driver.py
@@ -113,7 +113,7 @@
             backend = entry.backend
             backends.append(backend)
             if backend.status is Status.SERVING:
-                self.pool.set_address(backend.address, entry.address)
+                self.pool.set_address(backend.address, entry.address, backend.started)
                 self.serving.add(backend.address)
             else:
                 self.pool.retire(backend.address)
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -214,6 +214,29 @@
     run(test)
 
 
+def test_a_backend_that_was_silent_or_restarted_is_dialled_anew() -> None:
+    # a cut-off machine keeps connections open and silent: what is written to one that is left may have run,
+    # a dial that does not come up can't have
+    async def test() -> None:
+        served, silent = says(message(200)), says(b"")
+        async with sending(silent, silent, served, served, served) as (sender, peer):
+            _, first = sender.start(5.0)
+            await peer.until(lambda: len(peer.seen) == 1)
+            _, second = sender.start(5.0)
+            await peer.until(lambda: len(peer.seen) == 2)
+            assert await sender.outcome() is Outcome.SERVED  # a third connection, kept
+            line = sender.pool.idle["b"]
+            assert len(line) == 1
+            attempt = next(c.attempt for c in sender.pool.connections if c.attempt is not None)
+            attempt.time_out()
+            assert not sender.pool.idle.get("b") and (first.done() or second.done())
+            assert await sender.outcome() is Outcome.SERVED and peer.connections == 4
+            sender.pool.set_address("b", sender.pool.addresses["b"], 7.0)
+            assert await sender.outcome() is Outcome.SERVED and peer.connections == 5
+
+    run(test)
+
+
 def test_the_pool_is_bounded_and_idle_connections_make_way() -> None:
     async def test() -> None:
         async with sending(says(b""), says(b"")) as (sender, peer):
