Long pipelines and clients that do not read are bounded

Requests are parsed 8 KiB at a time and no further than 16 under way or a full write buffer.

A half-sent request that stalls gives its place to clients that ask where descriptors are short.

The test of a client that leaves had passed for the wrong reason, by the attempt's time-out after 2 s: the close it made was no reset. It resets now, and no time-out can end the attempt in its stead.

--- a/embersill/net/clients.py
+++ b/embersill/net/clients.py
@@ -19,7 +19,9 @@
 
 MOST_BODY = 64 * 1024  # bytes of a request's body, by the protocol
 MOST_HEAD = 32 * 1024  # bytes of request line and headers: a generous browser sends a quarter of it
-MOST_PIPELINED = 4  # requests read ahead on one connection; further ones wait in the kernel
+MOST_PIPELINED = 16  # requests under way on one connection: further ones stay unread
+PIECE = 8192  # bytes given to the parser at a time: so many small requests at most go past that bound
+STALLED = 5.0  # seconds without a byte from which a half-sent request may lose its place to another client
 LINGER = 1.0  # seconds for a peer to read an error answer before its connection goes
 BACKLOG = 1024
 ACCEPT_AGAIN = 0.02  # seconds until the next try where no descriptor was left for a connection
@@ -161,7 +163,8 @@
         self.parser = httptools.HttpRequestParser(self)
         self.idle_since = front.clock()
         self.received = 0.0
-        self.paused = self.ended = self.closing = False
+        self.unread = b""
+        self.paused = self.ended = self.closing = self.stuck = self.parsing = False
         self.in_request, self.in_head, self.head_size = False, False, 0
         self.start_request()
 
@@ -180,6 +183,7 @@
     def on_message_begin(self) -> None:
         self.start_request()
         self.in_request = self.in_head = True
+        self.head_size = 0  # pieces end in the midst of many heads: each has the whole bound
 
     def on_url(self, url: bytes) -> None:
         self.target += url
@@ -245,18 +249,33 @@
         if self.ended:
             return  # the last answer is on its way; what still comes is read only so that it gets there
         self.received = self.front.clock()
+        self.unread = self.unread + data if self.unread else data
+        self.read_on()
+
+    def read_on(self) -> None:
+        """Parses what has come, as far as the bound on requests under way allows."""
+        while self.unread and not (self.ended or self.is_full()):
+            piece = self.unread
+            if len(piece) > PIECE:
+                piece = piece[:PIECE]
+            self.unread = self.unread[len(piece):]
+            self.parse(piece)
+        self.pace()
+
+    def parse(self, piece: bytes) -> None:
+        self.parsing = True  # an answer given at once must not start the parser again from inside itself
         try:
-            self.parser.feed_data(data)
+            self.parser.feed_data(piece)
         except httptools.HttpParserError:
             self.break_off(400, "not HTTP")
         except httptools.HttpParserUpgrade:
             self.ended = True  # the answer to the request itself has been or will be given
-        self.head_size = self.head_size + len(data) if self.in_head else 0
+        self.parsing = False
+        self.head_size += len(piece) if self.in_head else 0
         if self.bad is not None and self.bad.status == 413 and self.in_request:
             self.break_off(413, str(self.bad))
         elif self.head_size > MOST_HEAD:
             self.break_off(431, "the head is over 32 KiB")
-        self.pace()
 
     def break_off(self, status: int, text: str) -> None:
         """Answers a request that can't be read to its end; what follows it can't be read either."""
@@ -267,10 +286,13 @@
         self.exchanges.append(exchange)
         exchange.answer(status, f"{text}\n".encode())
 
+    def is_full(self) -> bool:
+        return self.stuck or len(self.exchanges) >= MOST_PIPELINED
+
     def pace(self) -> None:
-        """Stops reading while enough requests wait here, so that a pipeline can't fill the memory."""
-        full = len(self.exchanges) >= MOST_PIPELINED
-        if self.transport is None or full == self.paused or self.closing:
+        """Stops reading while enough is under way: a client that only sends can't fill the memory."""
+        full = self.is_full() or bool(self.unread)
+        if self.transport is None or full == self.paused or self.ended:
             return
         self.paused = full
         if full:
@@ -278,6 +300,14 @@
         else:
             self.transport.resume_reading()
 
+    def pause_writing(self) -> None:
+        self.stuck = True  # the client does not read its answers: it gets no further ones
+        self.pace()
+
+    def resume_writing(self) -> None:
+        self.stuck = False
+        self.read_on()
+
     def flush(self) -> None:
         """Writes the answers that are due, up to the first request that has none yet."""
         if self.transport is None:
@@ -290,6 +320,8 @@
         self.idle_since = self.front.clock()
         if self.ended and not self.exchanges:
             return self.end()
+        if self.unread and not self.parsing:
+            return self.read_on()
         return self.pace()
 
     def end(self) -> None:
@@ -303,6 +335,7 @@
             if self.paused:
                 self.transport.resume_reading()
                 self.paused = False
+            self.unread = b""
             self.transport.write_eof()
             asyncio.get_running_loop().call_later(LINGER, self.transport.close)
 
@@ -327,7 +360,10 @@
         return self.transport is None or self.transport.get_write_buffer_size() == 0
 
     def is_idle(self) -> bool:
-        return not (self.exchanges or self.in_request or self.closing)
+        """True if closing it loses nothing: no request was taken here, nor is one on its way."""
+        if self.exchanges or self.closing or self.unread:
+            return False
+        return not self.in_request or self.front.clock() - self.received > STALLED
 
 
 class Front:
--- a/tests/bed.py
+++ b/tests/bed.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from typing import Any
@@ -15,6 +17,7 @@
 )
 
 CUSTOMER = "00000000000000c1"
+READY = b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"
 
 
 def run(test: Callable[[], Awaitable[None]]) -> None:
@@ -65,6 +68,12 @@
         self.send(text)
         return await self.answer()
 
+    def reset(self) -> None:
+        """Ends the connection so that the gateway sees it broken, not only closed for sending."""
+        sock = self.writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.writer.transport.abort()
+
     async def closed(self) -> bool:
         """Waits for the gateway to close; False if it sends something more first."""
         async with asyncio.timeout(SOON):
@@ -100,8 +109,13 @@
             "settings": env,
         }
 
-    async def client(self) -> Client:
-        return Client(*await asyncio.open_connection(HOST, self.port))
+    async def client(self, receive_buffer: int = 0) -> Client:
+        sock = socket.socket()
+        if receive_buffer:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+        sock.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(sock, (HOST, self.port))
+        return Client(*await asyncio.open_connection(sock=sock))
 
     def seen(self) -> list[Asked]:
         return [asked for b in self.backends for asked in b.seen]
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from embersill.net.clients import MOST_BODY, MOST_HEAD
-from tests.bed import Bed, Client, request, run, running
-from tests.peers import Asked, serve
+from embersill.net.clients import MOST_BODY, MOST_HEAD, STALLED
+from tests.bed import READY, Bed, Client, request, roomy_settings, run, running
+from tests.peers import SOON, Asked, message, serve
 
 
 def with_bed(test: Callable[[Bed, Client], Awaitable[None]]) -> None:
@@ -143,19 +143,19 @@
 
 
 def test_a_reset_client_is_an_event_and_its_attempt_is_called_off() -> None:
-    async def test(bed: Bed, client: Client) -> None:
-        def took(writer: asyncio.StreamWriter, asked: Asked) -> None:
-            gone.set()
-
-        gone = asyncio.Event()
-        bed.backends[0].script = [took]
-        client.send(request(1))
-        await gone.wait()  # the backend has it, and answers nothing
-        client.writer.transport.abort()
-        await bed.backends[0].until(lambda: bed.backends[0].ended == 1)
-        assert not bed.program.driver.unanswered and not bed.program.driver.pending
+    async def inside() -> None:
+        env = roomy_settings()
+        env["services"][0]["aim"] = env["services"][0]["deadline"] = 1e6  # no time-out ends it in the test
+        async with running(env=env) as bed:
+            client, gone = await bed.client(), asyncio.Event()
+            bed.backends[0].script = [lambda writer, asked: gone.set()]
+            client.send(request(1, budget=1000.0))
+            await gone.wait()  # the backend has it, and answers nothing
+            client.reset()
+            await bed.backends[0].until(lambda: bed.backends[0].ended == 1)
+            assert not bed.program.driver.unanswered and not bed.program.driver.pending
 
-    with_bed(test)
+    run(inside)
 
 
 def test_a_full_house_makes_room_by_idle_connections_only() -> None:
@@ -180,13 +180,51 @@
     with_bed(test)
 
 
+def test_a_client_that_reads_nothing_is_not_read_either() -> None:
+    # its answers would pile up in the gateway's memory
+    async def test(bed: Bed, client: Client) -> None:
+        large = message(200, b"x" * MOST_BODY)
+        bed.backends[0].script = [lambda writer, asked: writer.write(large)] * 1000
+        client = await bed.client(receive_buffer=8192)
+        client.writer.transport.pause_reading()  # type: ignore[attr-defined]
+        client.send(b"".join(request(n) for n in range(1000)))
+        while not any(c.stuck for c in bed.program.front.connections):
+            await asyncio.sleep(0)
+        await bed.program.driver.wait_answered(SOON)
+        assert bed.program.driver.taken < 1000
+        connection = next(c for c in bed.program.front.connections if c.stuck)
+        assert connection.transport is not None
+        assert connection.transport.get_write_buffer_size() < 3_000_000
+        client.writer.transport.resume_reading()  # type: ignore[attr-defined]
+        for _ in range(1000):
+            assert (await client.answer())[0] in (200, 429)
+
+    with_bed(test)
+
+
+def test_half_sent_requests_make_way_for_clients_that_ask() -> None:
+    async def test(bed: Bed, client: Client) -> None:
+        front, now = bed.program.front, bed.program.front.clock()
+        front.most = 1
+        client.send(request(1)[:40])
+        while not any(c.in_request for c in front.connections):
+            await asyncio.sleep(0)
+        assert not front.has_room()
+        assert not any(c.closing for c in front.connections)
+        front.clock = lambda: now + STALLED + 1.0
+        other = await bed.client()
+        assert (await other.ask(READY))[0] == 200
+        assert await client.closed()
+
+    with_bed(test)
+
+
 def test_ready_follows_the_list() -> None:
     async def test(bed: Bed, client: Client) -> None:
-        ask = b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"
-        assert (await client.ask(ask))[0] == 200
+        assert (await client.ask(READY))[0] == 200
         asked = len(bed.discovery.asked)
         await bed.discovery.change(bed.discovery.entry("b0", bed.backends[0].address, "DRAINING"))
         await bed.discovery.until_asked(asked + 1)
-        assert (await client.ask(ask))[0] == 503
+        assert (await client.ask(READY))[0] == 503
 
     with_bed(test)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -18,7 +18,7 @@
 
 import pytest
 
-from tests.bed import Bed, Client, request, roomy_settings, run
+from tests.bed import READY, Bed, Client, request, roomy_settings, run
 from tests.peers import HOST, SOON, Asked, serve
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -107,9 +107,6 @@
             await asyncio.sleep(0.01)
 
 
-READY = b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"
-
-
 def test_sigterm_answers_all_that_was_taken_and_ends_well(tmp_path: pathlib.Path) -> None:
     async def test() -> None:
         async with process(tmp_path) as (bed, child):
