A stop answers whole pipelines; connections make way only when settled

Read through for the stop on SIGTERM. Exchange.answer said close in every answer, and ClientConnection.end then dropped what had been taken behind it: the new test lost the second of two pipelined requests before, and passes now. Only the last one taken says so.

Program.stop closed idle connections straight after accepting the last ones, whose requests could still be unread; it waits 150 ms for them.

Front.has_room could close a connection accepted a moment ago with its first request unread: the test with few descriptors showed it once the bound came from the real limit on descriptors (40) and no longer from the told 1,024. A connection makes way only after 100 ms unused. The reserve shrinks with the limit, so that a small one is no reason not to start.

--- a/embersill/__main__.py
+++ b/embersill/__main__.py
@@ -7,6 +7,7 @@
 import json
 import logging
 import os
+import resource
 import signal
 import sys
 import time
@@ -26,10 +27,13 @@
 from embersill.settings import Limits, read_limits, read_settings
 
 RESERVE = 64  # descriptors kept for the listener, discovery, the counter, and what the run-time itself needs
+RESERVE_PART = 0.25  # of the descriptors, at most, that this may be
+LEAST_SOCKETS = 32  # with fewer there is nothing left to serve with
 CLIENTS_PART = 0.6  # of the other descriptors: held requests need none at the backends' side
 FIRST_LIST_WITHIN = 1.0  # seconds to wait for discovery's own word before the remembered list must do
 STILL_COMING = 0.5  # seconds after SIGTERM in which clients still connect, by the protocol, and a little
 ALL_ANSWERED = 3.4  # seconds after SIGTERM by which all is answered: it may be killed 0.3 s later
+LAST_READ = 0.15  # seconds in which the last connections taken in bring what was already sent on them
 LAST_BYTES = 0.25  # seconds for clients to take what was written to them
 
 
@@ -70,9 +74,10 @@
 def build_configuration(told: dict[str, Any], environ: dict[str, str]) -> Configuration:
     settings = read_settings(told["settings"])
     counter = read_address(told["counter"]) if settings.counter else None
-    sockets = int(told["limits"]["sockets"])
-    if sockets < 2 * RESERVE:
-        raise ValueError(f"limits: sockets is below {2 * RESERVE}")
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    sockets = min(int(told["limits"]["sockets"]), soft)
+    if sockets < LEAST_SOCKETS:
+        raise ValueError(f"limits: sockets is below {LEAST_SOCKETS}")
     return Configuration(
         name=str(environ.get("RELAY_NAME") or told["name"]),
         listen=read_address(environ.get("RELAY_LISTEN") or told["listen"]),
@@ -97,7 +102,7 @@
     def __init__(self, told: Configuration) -> None:
         clock = start_clock()
         self.loop = asyncio.get_running_loop()
-        free = told.sockets - RESERVE
+        free = told.sockets - min(RESERVE, int(told.sockets * RESERVE_PART))
         clients = int(free * CLIENTS_PART)
         self.pool = Pool(clock, told.limits.dial_timeout, told.limits.keepalive, free - clients)
         self.driver = Driver(Gateway(told.settings, told.seed, clock()), clock, self.pool)
@@ -139,8 +144,9 @@
         self.front.stopping = True
         await asyncio.sleep(still_coming)
         self.front.stop_listening()
+        await asyncio.sleep(LAST_READ)
         self.front.close_idle()
-        if not await self.driver.wait_answered(all_answered - still_coming):
+        if not await self.driver.wait_answered(all_answered - still_coming - LAST_READ):
             self.driver.rescue_all()
         self.front.close_idle()
         await self.front.wait_drained(LAST_BYTES)
--- a/embersill/net/clients.py
+++ b/embersill/net/clients.py
@@ -21,6 +21,7 @@
 MOST_HEAD = 32 * 1024  # bytes of request line and headers: a generous browser sends a quarter of it
 MOST_PIPELINED = 16  # requests under way on one connection: further ones stay unread
 PIECE = 8192  # bytes given to the parser at a time: so many small requests at most go past that bound
+SETTLED = 0.1  # seconds unused from which a connection may make way: its next request may be here unread
 STALLED = 5.0  # seconds without a byte from which a half-sent request may lose its place to another client
 LINGER = 1.0  # seconds for a peer to read an error answer before its connection goes
 BACKLOG = 1024
@@ -147,7 +148,7 @@
     def answer(self, status: int, body: bytes, headers: bytes = b"") -> None:
         if self.text is not None:
             return
-        self.keep = self.keep and not self.connection.front.stopping
+        self.keep = self.keep and not self.connection.ends_with(self)
         self.text = b"HTTP/1.1 %d %b\r\n%b%bContent-Length: %d\r\n\r\n%b" % (
             status, REASONS[status], headers, b"" if self.keep else b"Connection: close\r\n", len(body), body)
         self.connection.flush()
@@ -327,10 +328,6 @@
     def end(self) -> None:
         """Closes after the last answer; the peer may have more on its way, which must not cut it off."""
         self.ended = self.closing = True
-        for exchange in self.exchanges:  # behind an answer that closes: their client sends them again
-            if exchange.number:
-                self.front.driver.client_left(exchange.number)
-        self.exchanges.clear()
         if self.transport is not None and not self.transport.is_closing():
             if self.paused:
                 self.transport.resume_reading()
@@ -355,6 +352,16 @@
             if exchange.number and exchange.text is None:
                 self.front.driver.client_left(exchange.number)
 
+    def ends_with(self, exchange: Exchange) -> bool:
+        """While the gateway stops: True for the last that was taken here, which is to say so in its answer.
+
+        Said any earlier, it would leave those that were sent behind it without theirs.
+        """
+        if not self.front.stopping or self.unread or self.exchanges[-1] is not exchange:
+            return False
+        self.ended = True
+        return True
+
     def drained(self) -> bool:
         """True once the kernel has all that was written here."""
         return self.transport is None or self.transport.get_write_buffer_size() == 0
@@ -363,7 +370,10 @@
         """True if closing it loses nothing: no request was taken here, nor is one on its way."""
         if self.exchanges or self.closing or self.unread:
             return False
-        return not self.in_request or self.front.clock() - self.received > STALLED
+        now = self.front.clock()
+        if self.in_request:
+            return now - self.received > STALLED
+        return now - self.idle_since > SETTLED
 
 
 class Front:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -219,6 +219,28 @@
     with_bed(test)
 
 
+def test_a_stopping_gateway_answers_the_whole_pipeline_before_it_closes() -> None:
+    # the first answer's "Connection: close" cut off the requests behind it, which had been taken
+    async def test(bed: Bed, client: Client) -> None:
+        free = asyncio.Event()
+
+        async def late(writer: asyncio.StreamWriter, asked: Asked) -> None:
+            await free.wait()
+            serve(writer, asked)
+
+        bed.backends[0].script = [late, late]
+        client.send(request(1) + request(2))
+        await bed.backends[0].until(lambda: len(bed.backends[0].seen) == 2)
+        bed.program.front.stopping = True
+        free.set()
+        first, second = await client.answer(), await client.answer()
+        assert (first[0], second[0]) == (200, 200)
+        assert "connection" not in first[1] and second[1]["connection"] == "close"
+        assert await client.closed()
+
+    with_bed(test)
+
+
 def test_ready_follows_the_list() -> None:
     async def test(bed: Bed, client: Client) -> None:
         assert (await client.ask(READY))[0] == 200
