An answer is frozen once whole; spoilt ones end their attempt at once

Ruled out: keep-alive reuse (no surplus on idle connections), short declared lengths (llhttp refuses a length that stands twice). To blame: on_header, on_body and on_message_complete of net/backends.py, which went on after `complete`; data_received, which counted body bytes only.

Now: nothing changes an answer once it is whole; what brings more is closed; a connection rests 10 ms and is looked at for unread bytes before it is used again; interim answers, 101 too, leave nothing behind; heads, lengths and all bytes are bounded; half an answer is waited for 0.5 s. Connections and dials belong to a Line (id, address, start), so an old one can't serve a backend at its new address, and an address that goes to a new id is taken from the old one. Attempt, connection and parser part when they end.

--- a/embersill/net/backends.py
+++ b/embersill/net/backends.py
@@ -7,15 +7,20 @@
 from __future__ import annotations
 
 import asyncio
+import select
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from typing import cast
+from typing import Protocol, cast
 
 import httptools
 
 from embersill.interface import Outcome
 
-MOST_BODY = 64 * 1024  # bytes of an answer, by the protocol
+MOST_BODY = 64 * 1024  # bytes of an answer's body, by the protocol
+MOST_HEAD = 32 * 1024  # bytes before the body, interim answers too: a sound backend sends a hundredth of it
+MOST_ANSWER = MOST_HEAD + 2 * MOST_BODY  # bytes in all: chunks may bring their framing along, within reason
+STALLED = 0.5  # seconds that the rest of an answer may take once it has begun: what it has is ready by then
+RESTED = 0.01  # seconds unused before another request goes out: what comes behind an answer shows by then
 IDLE_PART = 0.5  # of the backends' idle limit after which a connection is closed here: well before theirs
 SWEEP_EVERY = 1.0  # seconds between looks for idle connections
 
@@ -30,23 +35,32 @@
     headers: bytes = b""  # header lines that tell how to read the body
 
 
+class Owner(Protocol):
+    """Who wants to know how an attempt ended."""
+
+    def attempt_ended(self, attempt: Attempt, answer: Answer) -> None: ...
+
+
 class Attempt:
-    """One attempt: what to write, where to, and what became of it. `done` is called exactly once."""
+    """One attempt: what to write, where to, and what became of it. Its owner hears of the end just once."""
 
     __slots__ = (
-        "backend", "body", "connection", "dial", "done", "ended", "head", "sent_at", "timer", "until",
+        "backend", "body", "connection", "dial", "head", "owner", "place", "sent_at", "timer", "until",
     )
 
     def __init__(
-        self, backend: str, head: bytes, body: bytes, sent_at: float, until: float,
-        done: Callable[[Attempt, Answer], None],
+        self, backend: str, head: bytes, body: bytes, sent_at: float, until: float, place: int, owner: Owner
     ) -> None:
         self.backend, self.head, self.body = backend, head, body
-        self.sent_at, self.until, self.done = sent_at, until, done
+        self.sent_at, self.until, self.place = sent_at, until, place
+        self.owner: Owner | None = owner
         self.connection: BackendConnection | None = None
         self.dial: asyncio.Task[None] | None = None
         self.timer: asyncio.TimerHandle | None = None
-        self.ended = False
+
+    @property
+    def ended(self) -> bool:
+        return self.owner is None
 
     @property
     def written(self) -> bool:
@@ -55,16 +69,16 @@
 
     def end(self, answer: Answer) -> None:
         """The first end counts; a dial under way is stopped, and a connection still in use is given up."""
-        if self.ended:
+        owner, self.owner = self.owner, None  # also parts the two: they name each other while it is out
+        if owner is None:
             return
-        self.ended = True
         if self.timer is not None:
             self.timer.cancel()
         if self.dial is not None:
             self.dial.cancel()
         if self.connection is not None:
             self.connection.give_up(self)
-        self.done(self, answer)
+        owner.attempt_ended(self, answer)
 
     def time_out(self) -> None:
         # one that still waits for its connection was never written, so it is known not to have run
@@ -73,30 +87,56 @@
         if connection is not None:
             # a machine that is cut off leaves its kept connections open and silent: what is written to them
             # may have run, while a dial that does not come up is known not to have
-            connection.pool.drop_idle(self.backend)
+            connection.line.drop_idle()
+
+
+class Line:
+    """A backend as it was told: at this address, since this start. Its connections serve no other.
+
+    An id may come back at another address, or its address go to another id: whatever was dialled before is
+    the old one's, and stays with the old Line.
+    """
+
+    __slots__ = ("address", "backend", "idle", "started")
+
+    def __init__(self, backend: str, address: tuple[str, int], started: float | None) -> None:
+        self.backend, self.address, self.started = backend, address, started
+        self.idle: list[BackendConnection] = []  # the longest idle first
+
+    def drop_idle(self) -> None:
+        idle, self.idle = self.idle, []
+        for connection in idle:
+            connection.close()
 
 
 class BackendConnection(asyncio.Protocol):
     """A kept-alive connection that carries one attempt at a time."""
 
-    def __init__(self, pool: Pool, backend: str) -> None:
-        self.pool, self.backend = pool, backend
+    def __init__(self, pool: Pool, line: Line) -> None:
+        self.pool, self.line = pool, line
         self.transport: asyncio.Transport | None = None
+        self.descriptor = -1
         self.attempt: Attempt | None = None
+        self.stall: asyncio.TimerHandle | None = None
         self.idle_since = 0.0
         self.unsent = False  # the kernel has not yet taken all of the request
-        self.parser = httptools.HttpResponseParser(self)
+        self.parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self.start_answer()
 
     def start_answer(self) -> None:
+        self.taken = self.status = 0
+        self.complete = self.keep = self.surplus = self.garbled = self.begun = self.in_body = False
+        self.start_message()
+
+    def start_message(self) -> None:
         self.parts: list[bytes] = []
-        self.size, self.units, self.headers = 0, 0.0, b""
-        self.rejected = self.complete = self.keep = self.surplus = self.garbled = False
+        self.size, self.units, self.headers, self.rejected = 0, 0.0, b"", False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is one in all but its bases
         # with no room above the kernel's buffer, pause_writing tells that the request is not written whole
         self.transport.set_write_buffer_limits(high=0)
+        self.descriptor = self.transport.get_extra_info("socket").fileno()
         self.pool.opened(self)
 
     def pause_writing(self) -> None:
@@ -124,28 +164,51 @@
     def usable(self) -> bool:
         return self.transport is not None and not self.transport.is_closing()
 
+    def is_quiet(self) -> bool:
+        """True if nothing waits to be read: no surplus that would pass for the next answer, and no end."""
+        poll = select.poll()
+        poll.register(self.descriptor, select.POLLIN)
+        return not poll.poll(0)
+
     # what the parser tells
 
     def on_message_begin(self) -> None:
-        self.surplus = self.surplus or self.complete
+        self.begun = True
+        if self.complete:
+            self.surplus = True
+        else:
+            self.start_message()  # an interim answer ahead has left nothing behind
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if self.complete:  # the answer is whole: what follows it, a second one maybe, belongs to nobody
+            return
         name = name.lower()
         if name == b"x-rejected":
             self.rejected = value.strip() == b"1"
         elif name == b"billed-units":
             self.units = read_units(value)
+        elif name == b"content-length":
+            # one that is declared too long is not waited for
+            self.garbled = self.garbled or not value.isdigit() or int(value) > MOST_BODY
         elif name in (b"content-type", b"content-encoding"):
             self.headers += b"%b: %b\r\n" % (name.title(), value)
 
+    def on_headers_complete(self) -> None:
+        self.in_body = self.parser is not None and not is_interim(self.parser.get_status_code())
+
     def on_body(self, body: bytes) -> None:
-        self.size += len(body)
-        if self.size <= MOST_BODY:
-            self.parts.append(body)
+        if not self.complete:
+            self.size += len(body)
+            if self.size <= MOST_BODY:
+                self.parts.append(body)
 
     def on_message_complete(self) -> None:
-        if not 100 <= self.parser.get_status_code() < 200:  # an interim answer goes before the real one
-            self.complete = True
+        if self.complete or self.parser is None:
+            return
+        self.begun = False
+        status = self.parser.get_status_code()
+        if not is_interim(status):  # an interim answer goes before the real one
+            self.complete, self.status = True, status
             self.keep = self.parser.should_keep_alive()  # the parser knows only while in this call
 
     # what the transport tells
@@ -153,30 +216,53 @@
     def data_received(self, data: bytes) -> None:
         attempt = self.attempt
         if attempt is None:
-            return self.close()  # nothing was asked
-        try:
-            self.parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self.garbled = True
+            return self.close()  # nothing was asked, or more came than belonged to the answer
+        self.taken += len(data)
+        self.parse(data)
         if self.complete:
             self.finish(attempt)
-        elif self.garbled or self.size > MOST_BODY:
+        elif self.is_spoilt():
             # a backend that answers at all may have run the request, however odd the answer is
             attempt.end(Answer(Outcome.BROKEN))
+        elif self.begun and self.stall is None:
+            self.stall = self.pool.loop.call_later(STALLED, self.has_stalled, attempt)
+
+    def parse(self, data: bytes) -> None:
+        while self.parser is not None and data:
+            try:
+                return self.parser.feed_data(data)
+            except httptools.HttpParserUpgrade as upgrade:
+                # a 101 that nobody asked for: the real answer comes behind it, for a parser of its own
+                self.parser, data = httptools.HttpResponseParser(self), data[upgrade.args[0]:]
+            except httptools.HttpParserError:
+                self.garbled = True
+                return
+
+    def is_spoilt(self) -> bool:
+        too_long = self.taken > (MOST_ANSWER if self.in_body else MOST_HEAD) or self.size > MOST_BODY
+        return self.garbled or too_long
+
+    def has_stalled(self, attempt: Attempt) -> None:
+        # half an answer whose rest does not come is spoilt; while it is waited for, another try could help
+        self.stall = None
+        if self.attempt is attempt:
+            attempt.end(Answer(Outcome.BROKEN))
 
     def finish(self, attempt: Attempt) -> None:
-        status = self.parser.get_status_code()
+        if self.stall is not None:
+            self.stall.cancel()
+            self.stall = None
         whole = self.size <= MOST_BODY
+        parts, self.parts = self.parts, []
         # the connection is free before anybody hears of the answer: the next attempt may want it
-        reuse = whole and self.keep
-        if reuse and not (self.unsent or self.surplus or self.garbled):
+        if whole and self.keep and not (self.unsent or self.surplus or self.garbled):
             self.attempt = attempt.connection = None
             self.pool.put_back(self)
         if not whole:
             attempt.end(Answer(Outcome.BROKEN))
-        elif status == 200:
-            attempt.end(Answer(Outcome.SERVED, b"".join(self.parts), self.units, self.headers))
-        elif status in (503, 504) and self.rejected:
+        elif self.status == 200:
+            attempt.end(Answer(Outcome.SERVED, b"".join(parts), self.units, self.headers))
+        elif self.status in (503, 504) and self.rejected:
             attempt.end(Answer(Outcome.TURNED_AWAY))
         else:
             attempt.end(Answer(Outcome.ERROR))
@@ -187,12 +273,19 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.pool.closed(self)
         attempt, self.attempt = self.attempt, None
+        self.parser = self.transport = None  # the parser knows its connection: parted, both are freed at once
+        if self.stall is not None:
+            self.stall.cancel()
         if attempt is not None:
             # an unsent rest proves that the backend never had the whole; a write that went through proves
             # nothing, also not on a kept connection that the backend had closed by then
             attempt.end(Answer(Outcome.NO_CONNECTION if self.unsent else Outcome.BROKEN))
 
 
+def is_interim(status: int) -> bool:
+    return 100 <= status < 200
+
+
 def read_units(value: bytes) -> float:
     try:
         units = float(value)
@@ -210,77 +303,88 @@
         self.clock, self.dial_timeout, self.most = clock, dial_timeout, most
         self.idle_limit = keepalive * IDLE_PART
         self.loop = asyncio.get_running_loop()
-        self.addresses: dict[str, tuple[str, int]] = {}
-        self.starts: dict[str, float | None] = {}
-        self.idle: dict[str, list[BackendConnection]] = {}
+        self.lines: dict[str, Line] = {}
         self.connections: set[BackendConnection] = set()
-        self.dialling: set[Attempt] = set()
+        self.dialling: dict[Attempt, Line] = {}
         self.sweeper = self.loop.call_later(SWEEP_EVERY, self.sweep)
 
     def set_address(self, backend: str, address: tuple[str, int], started: float | None = None) -> None:
         """Where a backend listens; connections to where it was, or to before its restart, are of no use."""
-        if self.addresses.get(backend) != address or self.starts.get(backend) != started:
-            self.drop_idle(backend)
-            self.addresses[backend], self.starts[backend] = address, started
+        line = self.lines.get(backend)
+        if line is None or (line.address, line.started) != (address, started):
+            self.retire(backend)
+            self.lines[backend] = Line(backend, address, started)
+
+    def at(self, address: tuple[str, int]) -> list[str]:
+        """The backends that were told to listen there."""
+        return [b for b, line in self.lines.items() if line.address == address]
 
     def retire(self, backend: str) -> None:
         """For one that drains or is gone: nothing is written to it from now on, not even what is dialling.
 
         Attempts that are out go on to their ends, and their connections are closed after them.
         """
-        self.drop_idle(backend)
-        self.addresses.pop(backend, None)
-        for attempt in [a for a in self.dialling if a.backend == backend]:
-            attempt.end(Answer(Outcome.NO_CONNECTION))
+        line = self.lines.pop(backend, None)
+        if line is not None:
+            line.drop_idle()
+            for attempt in [a for a, towards in self.dialling.items() if towards is line]:
+                attempt.end(Answer(Outcome.NO_CONNECTION))
 
     def forget_others(self, known: Iterable[str]) -> None:
         """After a whole list: what it does not name is gone."""
-        for backend in self.addresses.keys() - set(known):
+        for backend in self.lines.keys() - set(known):
             self.retire(backend)
-            self.starts.pop(backend, None)
-
-    def drop_idle(self, backend: str) -> None:
-        for connection in self.idle.pop(backend, []):
-            connection.close()
 
     def start(self, attempt: Attempt) -> None:
         now = self.clock()
         attempt.timer = self.loop.call_later(max(attempt.until - now, 0.0), attempt.time_out)
-        idle = self.idle.get(attempt.backend, [])
-        while idle:
-            connection = idle.pop()
-            if connection.usable() and now - connection.idle_since < self.idle_limit:
-                return connection.send(attempt, max(attempt.until - now, 0.001))
-            connection.close()
-        address = self.addresses.get(attempt.backend)
-        if address is None or not self.has_room():
+        line = self.lines.get(attempt.backend)
+        if line is None:
             return attempt.end(Answer(Outcome.NO_CONNECTION))
-        self.dialling.add(attempt)
-        attempt.dial = self.loop.create_task(self.connect(attempt, address))
+        connection = self.take_idle(line, now)
+        if connection is not None:
+            return connection.send(attempt, max(attempt.until - now, 0.001))
+        if not self.has_room():
+            return attempt.end(Answer(Outcome.NO_CONNECTION))
+        self.dialling[attempt] = line
+        attempt.dial = self.loop.create_task(self.connect(attempt, line))
+        return None
+
+    def take_idle(self, line: Line, now: float) -> BackendConnection | None:
+        """The last used of those that have rested; what brought more than its answer is closed instead."""
+        for place in range(len(line.idle) - 1, -1, -1):
+            connection = line.idle[place]
+            if now - connection.idle_since < RESTED:
+                continue
+            del line.idle[place]
+            fresh = now - connection.idle_since < self.idle_limit
+            if fresh and connection.usable() and connection.is_quiet():
+                return connection
+            connection.close()
         return None
 
     def has_room(self) -> bool:
         """True if one more may be dialled; an idle connection makes way where the bound is reached."""
         if len(self.connections) + len(self.dialling) < self.most:
             return True
-        oldest = min((c for line in self.idle.values() for c in line), default=None,
+        oldest = min((line.idle[0] for line in self.lines.values() if line.idle), default=None,
                      key=lambda c: c.idle_since)
         if oldest is None:
             return False
-        self.idle[oldest.backend].remove(oldest)
+        oldest.line.idle.remove(oldest)
         oldest.close()
         return True
 
-    async def connect(self, attempt: Attempt, address: tuple[str, int]) -> None:
-        made, up = BackendConnection(self, attempt.backend), False
+    async def connect(self, attempt: Attempt, line: Line) -> None:
+        made, up = BackendConnection(self, line), False
         try:
             async with asyncio.timeout(self.dial_timeout):
-                await self.loop.create_connection(lambda: made, *address)
+                await self.loop.create_connection(lambda: made, *line.address)
             up = made.usable()
         except (OSError, TimeoutError):  # refused, unreachable, no descriptor left, or not up in time
             pass
         finally:
-            self.dialling.discard(attempt)
+            self.dialling.pop(attempt, None)
             attempt.dial = None
             if not up or attempt.ended:
                 made.close()  # also where the attempt ended just as its connection came up
@@ -294,22 +398,22 @@
 
     def closed(self, connection: BackendConnection) -> None:
         self.connections.discard(connection)
-        line = self.idle.get(connection.backend)
-        if line is not None and connection in line:
-            line.remove(connection)
+        if connection in connection.line.idle:
+            connection.line.idle.remove(connection)
 
     def put_back(self, connection: BackendConnection) -> None:
-        if connection.backend not in self.addresses:
+        line = connection.line
+        if self.lines.get(line.backend) is not line:
             return connection.close()
         connection.idle_since = self.clock()
-        return self.idle.setdefault(connection.backend, []).append(connection)
+        return line.idle.append(connection)
 
     def sweep(self) -> None:
         """Closes what has been idle for long; the longest idle stand first in their line."""
         before = self.clock() - self.idle_limit
-        for line in self.idle.values():
-            while line and line[0].idle_since < before:
-                line.pop(0).close()
+        for line in self.lines.values():
+            while line.idle and line.idle[0].idle_since < before:
+                line.idle.pop(0).close()
         self.sweeper = self.loop.call_later(SWEEP_EVERY, self.sweep)
 
     def close(self) -> None:
--- a/embersill/net/driver.py
+++ b/embersill/net/driver.py
@@ -10,7 +10,7 @@
 import logging
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Protocol
 
 from embersill.control import Gateway
@@ -56,21 +56,26 @@
 class Pending:
     """A request that was taken, until it has its answer and the last of its attempts has ended."""
 
-    __slots__ = ("attempts", "call", "end", "exchange", "guard", "number", "out", "over")
+    __slots__ = ("attempts", "call", "driver", "end", "exchange", "guard", "number", "out", "over")
 
-    def __init__(self, number: int, call: Call, exchange: Exchange) -> None:
-        self.number, self.call, self.exchange = number, call, exchange
+    def __init__(self, driver: Driver, number: int, call: Call, exchange: Exchange) -> None:
+        self.driver, self.number, self.call = driver, number, call
+        self.exchange: Exchange | None = exchange
         self.end = call.received + call.budget - min(EARLY, SCANT * call.budget)
         self.attempts: list[Attempt] = []
         self.out, self.over = 0, False
         self.guard: asyncio.TimerHandle | None = None
 
+    def attempt_ended(self, attempt: Attempt, answer: Answer) -> None:
+        self.driver.attempt_ended(self, attempt, answer)
+
 
 class Driver:
     """Owns the one Gateway of this process."""
 
     def __init__(self, gateway: Gateway, clock: Callable[[], float], pool: Pool) -> None:
         self.gateway, self.clock, self.pool = gateway, clock, pool
+        self.most_units = gateway.settings.most_units
         self.counter: Counter | None = None
         self.loop = asyncio.get_running_loop()
         self.pending: dict[int, Pending] = {}
@@ -90,7 +95,7 @@
     def take(self, call: Call, exchange: Exchange) -> int:
         """A client's request; its number is the module's name for it."""
         self.taken += 1
-        pending = Pending(self.taken, call, exchange)
+        pending = Pending(self, self.taken, call, exchange)
         self.pending[pending.number] = pending
         self.unanswered += 1
         end = call.received + call.budget - min(GUARD, SCANT * call.budget / 2)
@@ -111,13 +116,19 @@
         backends: list[Backend] = []
         for entry in listing.entries:
             backend = entry.backend
-            backends.append(backend)
             if backend.status is Status.SERVING:
+                # an address that goes to a new id is no longer the old one's, whose end may be told later
+                for old in self.pool.at(entry.address):
+                    if old != backend.address:
+                        self.pool.retire(old)
+                        self.serving.discard(old)
+                        backends.append(replace(backend, address=old, status=Status.GONE))
                 self.pool.set_address(backend.address, entry.address, backend.started)
                 self.serving.add(backend.address)
             else:
                 self.pool.retire(backend.address)
                 self.serving.discard(backend.address)
+            backends.append(backend)
         if listing.whole:
             named = {b.address for b in backends}
             self.pool.forget_others(named)
@@ -131,14 +142,15 @@
         # the loop counts whole milliseconds and may come early: for the module a timer is never early
         self.post(TimerDue(key), due)
 
-    def attempt_ended(self, pending: Pending, place: int, attempt: Attempt, answer: Answer) -> None:
+    def attempt_ended(self, pending: Pending, attempt: Attempt, answer: Answer) -> None:
         pending.out -= 1
         if answer.outcome is Outcome.SERVED and not pending.over:
             self.finish(pending, 200, answer.body, answer.headers)
         elapsed = self.clock() - attempt.sent_at
         over = pending.over
+        units = answer.units if answer.units <= self.most_units else 0.0  # no request takes as much
         self.post(AttemptEnded(
-            pending.number, place, attempt.backend, answer.outcome, elapsed, over, answer.units, ()))
+            pending.number, attempt.place, attempt.backend, answer.outcome, elapsed, over, units, ()))
         self.forget(pending)
 
     # the module
@@ -177,9 +189,7 @@
         now, place = self.clock(), len(pending.attempts)
         until = pending.end if action.timeout <= 0 else min(pending.end, now + action.timeout)
         attempt = Attempt(
-            action.backend, pending.call.head, pending.call.body, now, until,
-            lambda attempt, answer: self.attempt_ended(pending, place, attempt, answer),
-        )
+            action.backend, pending.call.head, pending.call.body, now, until, place, pending)
         pending.attempts.append(attempt)
         pending.out += 1
         if pending.over or now >= pending.end:
@@ -223,8 +233,9 @@
             self.all_answered.set()
         if pending.guard is not None:
             pending.guard.cancel()
-        if status:
-            pending.exchange.answer(status, body, headers)
+        exchange, pending.exchange = pending.exchange, None
+        if status and exchange is not None:
+            exchange.answer(status, body, headers)
         for attempt in pending.attempts:
             if not (attempt.ended or attempt.written):  # it must not be written for a request that is over
                 attempt.end(Answer(Outcome.NOT_SENT))
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import select
 import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -10,13 +12,23 @@
 import pytest
 
 from embersill.interface import Outcome
-from embersill.net.backends import MOST_BODY, Answer, Attempt, Pool
+from embersill.net.backends import MOST_BODY, MOST_HEAD, RESTED, Answer, Attempt, Pool
 from tests.bed import run
-from tests.peers import HOST, Asked, BackendPeer, Step, message
+from tests.peers import HOST, SOON, Asked, BackendPeer, Step, message
 
 HEAD = b"POST /api HTTP/1.1\r\nX-Call-Id: 1\r\nContent-Length: 2\r\n"
 
 
+class Ended:
+    """An attempt's owner, for whom its answer is waited."""
+
+    def __init__(self) -> None:
+        self.answer: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+
+    def attempt_ended(self, attempt: Attempt, answer: Answer) -> None:
+        self.answer.set_result(answer)
+
+
 class Sender:
     """A pool with one backend, and attempts whose ends are waited for."""
 
@@ -24,12 +36,11 @@
         self.pool = pool
 
     def start(self, wait: float = 5.0, body: bytes = b"ab") -> tuple[Attempt, asyncio.Future[Answer]]:
-        ended: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
-        now = self.pool.clock()
+        owner, now = Ended(), self.pool.clock()
         head = HEAD.replace(b"2\r", b"%d\r" % len(body))
-        attempt = Attempt("b", head, body, now, now + wait, lambda _, answer: ended.set_result(answer))
+        attempt = Attempt("b", head, body, now, now + wait, 0, owner)
         self.pool.start(attempt)
-        return attempt, ended
+        return attempt, owner.answer
 
     async def outcome(self, wait: float = 5.0) -> Outcome:
         return (await self.start(wait)[1]).outcome
@@ -103,6 +114,7 @@
     async def test() -> None:
         async with sending(says(message(200)), cuts) as (sender, peer):
             assert await sender.outcome() is Outcome.SERVED
+            await asyncio.sleep(2 * RESTED)
             assert await sender.outcome() is Outcome.BROKEN
             assert len(peer.seen) == 2 and peer.connections == 1
 
@@ -225,13 +237,13 @@
             _, second = sender.start(5.0)
             await peer.until(lambda: len(peer.seen) == 2)
             assert await sender.outcome() is Outcome.SERVED  # a third connection, kept
-            line = sender.pool.idle["b"]
-            assert len(line) == 1
+            line = sender.pool.lines["b"]
+            assert len(line.idle) == 1
             attempt = next(c.attempt for c in sender.pool.connections if c.attempt is not None)
             attempt.time_out()
-            assert not sender.pool.idle.get("b") and (first.done() or second.done())
+            assert not line.idle and (first.done() or second.done())
             assert await sender.outcome() is Outcome.SERVED and peer.connections == 4
-            sender.pool.set_address("b", sender.pool.addresses["b"], 7.0)
+            sender.pool.set_address("b", sender.pool.lines["b"].address, 7.0)
             assert await sender.outcome() is Outcome.SERVED and peer.connections == 5
 
     run(test)
@@ -248,10 +260,117 @@
             first.end(Answer(Outcome.CANCELLED))
             await peer.until(lambda: peer.ended == 1)
             assert await sender.outcome() is Outcome.SERVED
-            sender.pool.set_address("c", sender.pool.addresses["b"])
-            ended: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+            sender.pool.set_address("c", sender.pool.lines["b"].address)
             now = sender.pool.clock()
-            sender.pool.start(Attempt("c", HEAD, b"ab", now, now + 5, lambda _, a: ended.set_result(a)))
+            sender.pool.start(Attempt("c", HEAD, b"ab", now, now + 5, 0, Ended()))
             await peer.until(lambda: peer.ended >= 2)
 
     run(test)
+
+
+SECOND = message(500, b"another's body", "Billed-Units: 7", "X-Rejected: 1")
+
+
+@pytest.mark.parametrize("behind", [SECOND, message(200, b"mine", "Billed-Units: 2"), b"\x00noise\r\n\r\n"])
+@pytest.mark.parametrize("together", [True, False])
+def test_what_comes_behind_an_answer_changes_neither_it_nor_the_next(behind: bytes, together: bool) -> None:
+    # a second answer in the same read was added to the first one's body, and took over its status and units;
+    # one that came later could pass for the answer to the next request on that connection
+    async def test() -> None:
+        async def later(writer: asyncio.StreamWriter, asked: Asked) -> None:
+            writer.write(message(200, b"mine", "Billed-Units: 2") + (behind if together else b""))
+            if not together:
+                await writer.drain()
+                await first
+                writer.write(behind)
+
+        async with sending(later, says(message(200, b"next"))) as (sender, peer):
+            _, first = sender.start()
+            answer = await first
+            assert (answer.outcome, answer.body, answer.units) == (Outcome.SERVED, b"mine", 2.0)
+            await asyncio.sleep(2 * RESTED)
+            assert (await sender.start()[1]).body == b"next"
+            assert peer.connections == 2  # what brings more than it was asked for is not used again
+
+    run(test)
+
+
+def test_surplus_that_was_not_read_yet_is_found_before_the_next_request_goes_out() -> None:
+    async def test() -> None:
+        async with sending(says(message(200, b"mine"))) as (sender, peer):
+            await sender.outcome()
+            await asyncio.sleep(2 * RESTED)
+            (connection,) = sender.pool.connections
+            assert connection.is_quiet()
+            sock = next(iter(peer.open)).get_extra_info("socket")
+            os.write(sock.fileno(), message(200, b"late"))
+            select.select([connection.descriptor], [], [], SOON)  # it is there, and the loop had no turn yet
+            assert not connection.is_quiet()
+
+    run(test)
+
+
+@pytest.mark.parametrize("ahead", [
+    b"HTTP/1.1 100 Continue\r\nBilled-Units: 7\r\nX-Rejected: 1\r\n\r\n",
+    b"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nContent-Type: a/b\r\n\r\n",
+    b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n",
+])
+@pytest.mark.parametrize("status", [200, 503])
+def test_interim_answers_leave_no_traces(ahead: bytes, status: int) -> None:
+    async def test() -> None:
+        async with sending(says(ahead + message(status, b"real")), says(message(200))) as (sender, peer):
+            answer = await sender.start()[1]
+            if status == 200:
+                assert answer == Answer(Outcome.SERVED, b"real", 0.0, b"")
+            else:
+                assert answer.outcome is Outcome.ERROR  # the rejection was not the real answer's
+            await asyncio.sleep(2 * RESTED)
+            assert await sender.outcome() is Outcome.SERVED and peer.connections == 1
+
+    run(test)
+
+
+@pytest.mark.parametrize("text", [
+    b"HTTP/1.1 200 OK\r\n" + b"X-Pad: pppppppppppppppppppp\r\n" * (MOST_HEAD // 20),
+    b"HTTP/1.1 100 Continue\r\n\r\n" * (MOST_HEAD // 20),
+    b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nabc",
+    b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\nabc",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + b"1;xxxxxxxx\r\na\r\n" * (MOST_BODY // 5),
+    b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc",
+    b"HTTP/1.1 200 OK\r\nContent-Le",
+])
+def test_a_spoilt_answer_ends_the_attempt_long_before_its_time(text: bytes) -> None:
+    # each of these was waited for until the attempt's time was up, and the request failed with it
+    async def test() -> None:
+        async with sending(says(text)) as (sender, peer):
+            assert await sender.outcome(1000.0) is Outcome.BROKEN
+            await peer.until(lambda: peer.ended == 1)
+
+    run(test)
+
+
+def test_a_backend_at_a_new_address_is_served_by_no_old_connection() -> None:
+    # an answer that came after the address had changed put its connection back under the same id
+    async def test() -> None:
+        free = asyncio.Event()
+
+        async def slow(writer: asyncio.StreamWriter, asked: Asked) -> None:
+            await free.wait()
+            writer.write(message(200, b"old"))
+
+        async with sending(slow) as (sender, peer):
+            other = BackendPeer()
+            await other.start()
+            other.script = [says(message(200, b"new"))]
+            _, first = sender.start()
+            await peer.until(lambda: len(peer.seen) == 1)
+            host, _, port = other.address.rpartition(":")
+            sender.pool.set_address("b", (host, int(port)))
+            free.set()
+            assert (await first).body == b"old"
+            await asyncio.sleep(2 * RESTED)
+            assert (await sender.start()[1]).body == b"new"
+            await other.stop()
+
+    run(test)
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from embersill.net.backends import RESTED
 from embersill.net.clients import MOST_BODY, MOST_HEAD, STALLED
 from tests.bed import READY, Bed, Client, request, roomy_settings, run, running
 from tests.peers import SOON, Asked, message, serve
@@ -37,6 +38,7 @@
     async def test(bed: Bed, client: Client) -> None:
         for number in range(5):
             assert (await client.ask(request(number)))[0] == 200
+            await asyncio.sleep(2 * RESTED)
         assert bed.backends[0].connections == 1
 
     with_bed(test)
