SIGHUP reads the configuration again; the counter's spoilt replies end their line

To blame: no handler in __main__.py; read_reply of net/counter.py, where float() takes nan and inf, and data_received, which went on reading a line behind such a reply.

Now: the file is read whole and checked; discovery follows a second agent beside the old one, which is believed until the new one has told its whole list; the counter's new calls go to the new address while those out end on their old lines. An unusable file changes nothing and is logged in one line. RELAY_DISCOVERY holds until the file's own entry is changed. A signal before the handler stands is kept, not lost. A reply that is neither number nor known error counts as maybe added, ends its line and the calls behind it.

--- a/embersill/__main__.py
+++ b/embersill/__main__.py
@@ -36,6 +36,8 @@
 LAST_READ = 0.15  # seconds in which the last connections taken in bring what was already sent on them
 LAST_BYTES = 0.25  # seconds for clients to take what was written to them
 
+log = logging.getLogger("embersill")
+
 
 class BadConfiguration(Exception):
     """The gateway can't start with what it was told."""
@@ -46,6 +48,7 @@
     name: str
     listen: tuple[str, int]
     discovery: tuple[str, int]
+    discovery_filed: tuple[str, int] | None  # the same by the file, whatever the environment said
     counter: tuple[str, int] | None
     seed: int
     sockets: int
@@ -82,6 +85,7 @@
         name=str(environ.get("RELAY_NAME") or told["name"]),
         listen=read_address(environ.get("RELAY_LISTEN") or told["listen"]),
         discovery=read_address(environ.get("RELAY_DISCOVERY") or told["discovery"]),
+        discovery_filed=read_address(told["discovery"]) if "discovery" in told else None,
         counter=counter,
         seed=int(told["seed"], 16), sockets=sockets,
         known=read_listing(told["known"], ListKind.REMEMBERED), settings=settings,
@@ -114,7 +118,7 @@
         self.discovery = Discovery(told.discovery, told.limits.dial_timeout, self.driver.list_told)
         self.front = Front(self.driver, told.settings, clock, clients, self.serves)
         self.listen = told.listen
-        self.following: asyncio.Task[None] | None = None
+        self.filed = told.discovery_filed, told.counter
         self.settled = False  # the list is discovery's own, or as good as can be had
 
     def serves(self) -> bool:
@@ -124,6 +128,8 @@
         stop = asyncio.Event()
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, stop.set)
+        self.loop.add_signal_handler(signal.SIGHUP, self.reload)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         await self.start()
         gc.freeze()  # what start-up made stays: no need to look through it again
         await stop.wait()
@@ -131,7 +137,7 @@
 
     async def start(self) -> None:
         self.front.listen(self.listen)
-        self.following = self.loop.create_task(self.discovery.run())
+        self.discovery.start()
         try:
             async with asyncio.timeout(FIRST_LIST_WITHIN):
                 await self.discovery.heard.wait()
@@ -139,6 +145,21 @@
             pass
         self.settled = True
 
+    def reload(self) -> None:
+        """Moves discovery and counter to where the file says now; without a usable file nothing changes."""
+        try:
+            fresh = read_configuration(dict(os.environ))
+        except BadConfiguration as error:
+            return log.warning("the configuration stays as it was: %s", error)
+        # an address in the environment holds until the file's own is changed: that is the later word
+        before, self.filed = self.filed, (fresh.discovery_filed, fresh.counter)
+        if fresh.discovery_filed is not None and fresh.discovery_filed != before[0]:
+            self.discovery.move(fresh.discovery_filed)
+        counter = self.driver.counter
+        if counter is not None and fresh.counter is not None and fresh.counter != before[1]:
+            counter.move(fresh.counter)
+        return None
+
     async def stop(self, still_coming: float = STILL_COMING, all_answered: float = ALL_ANSWERED) -> None:
         """Takes what still comes, answers all of it, and leaves nothing behind."""
         self.front.stopping = True
@@ -150,9 +171,7 @@
             self.driver.rescue_all()
         self.front.close_idle()
         await self.front.wait_drained(LAST_BYTES)
-        if self.following is not None:
-            self.following.cancel()
-            self.discovery.drop()
+        self.discovery.stop()
         self.pool.close()
         if self.driver.counter is not None:
             self.driver.counter.close()
@@ -164,6 +183,8 @@
 
 def main() -> int:
     logging.basicConfig(format="%(name)s: %(message)s", level=logging.WARNING)
+    # left to itself it ends the process; one that comes early waits: the file may have been read by then
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     try:
         told = read_configuration(dict(os.environ))
     except BadConfiguration as error:
--- a/embersill/net/counter.py
+++ b/embersill/net/counter.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import zlib
 from collections import deque
 from collections.abc import Callable
@@ -15,15 +16,16 @@
 LINES = 4  # connections: names are dealt out over them, so that one slow part holds up fewer of the others
 SILENT_AFTER = 10.0  # times the patience that the first in line may wait before its connection is given up
 IDLE_LIMIT = 3.0  # seconds unused after which a line is opened anew: the counter closes idle ones unannounced
+TOTAL = re.compile(rb"-?\d{1,20}(\.\d{1,20})?([eE][+-]?\d{1,2})?")
 
 
 class CounterCall:
     """One call; told to the driver once, though its answer may come and take its place in line after that."""
 
-    __slots__ = ("name", "started", "told", "timer")
+    __slots__ = ("name", "started", "told", "timer", "written")
 
     def __init__(self, name: str, started: float) -> None:
-        self.name, self.started, self.told = name, started, False
+        self.name, self.started, self.told, self.written = name, started, False, False
         self.timer: asyncio.TimerHandle | None = None
 
 
@@ -37,7 +39,7 @@
         self.written: deque[CounterCall] = deque()
         self.reader = hiredis.Reader()
         self.used = counter.clock()
-        self.unsent = self.dead = False
+        self.unsent = self.dead = self.leaving = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is one in all but its bases
@@ -62,6 +64,7 @@
 
     def write(self, call: CounterCall, text: bytes) -> None:
         assert self.transport is not None
+        call.written = True
         self.written.append(call)
         self.transport.write(text)
 
@@ -79,13 +82,24 @@
             while (reply := self.reader.gets()) is not False:
                 if not self.written:
                     return self.close()  # an answer to nothing: what follows can't be matched either
-                self.counter.answered(self.written.popleft(), *read_reply(reply))
+                answer = read_reply(reply)
+                self.counter.answered(self.written.popleft(), *(answer or (Outcome.TIMED_OUT, 0.0)))
+                if answer is None:
+                    return self.close()  # no answer that follows is sure to be the next call's
+                if self.leaving and not self.written:
+                    return self.close()
         except hiredis.ProtocolError:
             self.close()
 
     def eof_received(self) -> bool:
         return False
 
+    def leave(self) -> None:
+        """Takes no further call, and closes once those that are out have their answers."""
+        self.leaving = True
+        if not (self.written or self.unwritten):
+            self.close()
+
     def close(self) -> None:
         self.dead = True
         if self.transport is not None:
@@ -97,6 +111,7 @@
     def end(self) -> None:
         """Tells what can be told of the calls left: the unwritten added nothing, the others may have."""
         self.dead = True
+        self.counter.leaving.discard(self)
         if self.unsent and self.written:
             self.counter.answered(self.written.pop(), Outcome.NO_CONNECTION, 0.0)
         while self.written:
@@ -106,14 +121,20 @@
         self.unwritten = []
 
 
-def read_reply(reply: object) -> tuple[Outcome, float]:
-    """A reply as outcome and total. The module takes all but a time-out as proof that nothing was added."""
+def read_reply(reply: object) -> tuple[Outcome, float] | None:
+    """A reply as outcome and total; None for one that is neither a number nor a known error.
+
+    The module takes all but a time-out as proof that nothing was added, which a spoilt reply is not. Words
+    that pass for numbers, as nan does, would set a level for good.
+    """
     if isinstance(reply, hiredis.ReplyError):
-        return Outcome.TURNED_AWAY if str(reply).startswith("BUSY") else Outcome.ERROR, 0.0
-    try:
-        return Outcome.SERVED, float(reply)  # type: ignore[arg-type]
-    except (TypeError, ValueError):
-        return Outcome.TIMED_OUT, 0.0  # neither a total nor an error: it may have been added
+        known = str(reply).startswith(("BUSY", "ERR"))
+        return (Outcome.TURNED_AWAY if str(reply)[0] == "B" else Outcome.ERROR, 0.0) if known else None
+    if isinstance(reply, int):
+        return Outcome.SERVED, float(reply)
+    if isinstance(reply, bytes) and TOTAL.fullmatch(reply):
+        return Outcome.SERVED, float(reply)
+    return None
 
 
 class Counter:
@@ -127,6 +148,7 @@
         self.dial_timeout = dial_timeout
         self.loop = asyncio.get_running_loop()
         self.lines: list[CounterLine | None] = [None] * LINES
+        self.leaving: set[CounterLine] = set()  # to an address that was given up, with calls still out
         self.dials: set[asyncio.Task[None]] = set()
 
     def add(self, name: str, amount: float, forget_after: float) -> None:
@@ -146,6 +168,17 @@
         words = ("CNT.ADD", name, f"{amount:.9g}", str(max(1, round(forget_after * 1000))))
         line.call(call, hiredis.pack_command(words))  # type: ignore[arg-type]  # its stub takes one word only
 
+    def move(self, address: tuple[str, int]) -> None:
+        """The next calls go to another address; those that are out end on the lines that they went by."""
+        self.address = address
+        old, self.lines = self.lines, [None] * LINES
+        for line in old:
+            if line is not None and not line.dead:
+                self.leaving.add(line)
+                line.leave()
+                # an answer may still be on its way then, but nobody waits for it
+                self.loop.call_later(2 * self.patience, line.close)
+
     async def connect(self, line: CounterLine) -> None:
         try:
             async with asyncio.timeout(self.dial_timeout):
@@ -156,8 +189,7 @@
             line.close()  # it was given up while it came up
 
     def out_of_patience(self, call: CounterCall) -> None:
-        line = next((x for x in self.lines if x is not None and call in x.written), None)
-        self.answered(call, Outcome.NO_CONNECTION if line is None else Outcome.TIMED_OUT, 0.0)
+        self.answered(call, Outcome.TIMED_OUT if call.written else Outcome.NO_CONNECTION, 0.0)
 
     def answered(self, call: CounterCall, outcome: Outcome, total: float) -> None:
         if call.told:
@@ -168,7 +200,7 @@
         self.told(Counted(call.name, outcome, self.clock() - call.started, total))
 
     def close(self) -> None:
-        for line in self.lines:
+        for line in (*self.lines, *self.leaving):
             if line is not None:
                 line.close()
         for task in self.dials:
--- a/embersill/net/discovery.py
+++ b/embersill/net/discovery.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import logging
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, cast
@@ -18,6 +19,8 @@
 FIRST_BACK_OFF, MOST_BACK_OFF = 0.05, 1.0  # seconds before a failed call is made again: doubled each time
 MOST_LIST = 4 * 1024 * 1024  # bytes: a fleet of thousands fits
 
+log = logging.getLogger("embersill")
+
 
 class BadList(Exception):
     """A list that the protocol does not allow, or no list at all."""
@@ -121,17 +124,17 @@
         self.fail("the connection ended")
 
 
-class Discovery:
-    """Follows the list for as long as it runs, and tells every answer in order."""
+class Agent:
+    """Follows the list at one address until it is stopped, and tells every answer in order."""
 
     def __init__(
-        self, address: tuple[str, int], dial_timeout: float, told: Callable[[Listing], None]
+        self, address: tuple[str, int], dial_timeout: float, told: Callable[[Agent, Listing], None]
     ) -> None:
         self.address, self.dial_timeout, self.told = address, dial_timeout, told
         self.host = f"{address[0]}:{address[1]}"
-        self.heard = asyncio.Event()  # set once discovery has answered at all
         self.connection: DiscoveryConnection | None = None
         self.generation: int | None = None
+        self.task = asyncio.get_running_loop().create_task(self.run())
 
     async def run(self) -> None:
         back_off = FIRST_BACK_OFF
@@ -146,8 +149,10 @@
                 continue
             back_off = FIRST_BACK_OFF
             self.generation = listing.generation
-            self.told(listing)
-            self.heard.set()
+            try:
+                self.told(self, listing)
+            except Exception:  # one list that goes wrong must not end the following of all later ones
+                log.exception("a list from discovery went wrong")
 
     async def call(self) -> Listing:
         if self.generation is None:
@@ -172,3 +177,40 @@
         connection, self.connection = self.connection, None
         if connection is not None and connection.transport is not None:
             connection.transport.abort()
+
+    def stop(self) -> None:
+        self.task.cancel()
+        self.drop()
+
+
+class Discovery:
+    """The list as told by one agent after another: an old one serves until the new one has told it whole."""
+
+    def __init__(
+        self, address: tuple[str, int], dial_timeout: float, told: Callable[[Listing], None]
+    ) -> None:
+        self.address, self.dial_timeout, self.told = address, dial_timeout, told
+        self.heard = asyncio.Event()  # set once discovery has answered at all
+        self.agents: list[Agent] = []  # the one that is believed, and behind it the one that is to follow it
+
+    def start(self) -> None:
+        self.agents.append(Agent(self.address, self.dial_timeout, self.agent_told))
+
+    def move(self, address: tuple[str, int]) -> None:
+        self.address = address
+        for overtaken in self.agents[1:]:
+            overtaken.stop()
+        del self.agents[1:]
+        if not self.agents or self.agents[0].address != address:
+            self.start()
+
+    def agent_told(self, agent: Agent, listing: Listing) -> None:
+        for old in self.agents[:self.agents.index(agent)]:
+            old.stop()  # what it would still tell is older
+            self.agents.remove(old)
+        self.heard.set()
+        self.told(listing)
+
+    def stop(self) -> None:
+        for agent in self.agents:
+            agent.stop()
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -10,8 +10,9 @@
 
 from embersill.interface import Counted, Outcome
 from embersill.net.counter import IDLE_LIMIT, SILENT_AFTER, Counter
+from embersill.net.discovery import read_address
 from tests.bed import run
-from tests.peers import HOST, CounterPeer
+from tests.peers import HOST, SOON, CounterPeer
 
 
 class Told:
@@ -173,3 +174,46 @@
         server.close()
 
     run(test)
+
+
+@pytest.mark.parametrize("reply", [
+    b"$3\r\nnan\r\n", b"$3\r\ninf\r\n", b"$-1\r\n", b"$4\r\n\x00x1e\r\n", b"*0\r\n", b"+OK\r\n", b"-WHAT\r\n",
+    b"$3\r\n1_0\r\n",
+])
+def test_a_reply_with_no_number_may_have_added_and_ends_its_line(reply: bytes) -> None:
+    # later answers on that line may belong to other calls; nan passed for a total, and then set a level
+    async def test() -> None:
+        async with calling() as (counter, told, peer):
+            peer.say = [reply]
+            counter.add("c1.7", 3.0, 4.0)
+            counter.add("c1.7", 4.0, 4.0)
+            assert await told.next() == ("c1.7", Outcome.TIMED_OUT, 0.0)
+            assert await told.next() == ("c1.7", Outcome.TIMED_OUT, 0.0)
+            counter.add("c1.8", 5.0, 4.0)
+            assert await told.next() == ("c1.8", Outcome.SERVED, 5.0) and peer.connections == 2
+
+    run(test)
+
+
+def test_after_a_move_new_calls_go_to_the_new_address_and_old_ones_are_still_heard() -> None:
+    async def test() -> None:
+        async with calling() as (counter, told, peer):
+            other = CounterPeer()
+            await other.start()
+            peer.free.clear()
+            counter.add("c1.7", 3.0, 4.0)
+            async with asyncio.timeout(SOON):
+                while not peer.calls:
+                    await asyncio.sleep(0.001)
+            counter.move(read_address(other.address))
+            counter.add("c1.7", 4.0, 4.0)
+            assert await told.next() == ("c1.7", Outcome.SERVED, 4.0)
+            peer.free.set()
+            assert await told.next() == ("c1.7", Outcome.SERVED, 3.0)
+            assert peer.calls == [("c1.7", 3.0)] and other.calls == [("c1.7", 4.0)]
+            async with asyncio.timeout(SOON):
+                while counter.leaving or peer.open:  # closed once its last call is answered
+                    await asyncio.sleep(0.001)
+            await other.stop()
+
+    run(test)
