Clients are held to the settings' bounds, and to their time

To blame, in net/clients.py: nothing looked after a connection that was silent (its in_request is false), a half-sent one lost its place after 5 s and under pressure only; has_room freed one place in 20 ms by end(), which holds it 1 s longer; read_quota knew no bounds of the settings. Ruled out, with tests that passed at once: folded headers, a length beside Transfer-Encoding or twice (the parser refuses them), the 413 that does not reach one who still sends 60 MB.

Now: validation is a file of its own, calls.py, and knows the settings' bounds; an id that is open is 409; silent and half-sent ones are ended after 2 s (408 for the latter), unused ones after 10 s or, from half full on, 2.1 s; up to 16 make way at a time, at once; after an error a connection is read again 0.1 s later, after four it is closed.

--- a/embersill/__main__.py
+++ b/embersill/__main__.py
@@ -171,6 +171,7 @@
             self.driver.rescue_all()
         self.front.close_idle()
         await self.front.wait_drained(LAST_BYTES)
+        self.front.close()
         self.discovery.stop()
         self.pool.close()
         if self.driver.counter is not None:
--- a/embersill/net/clients.py
+++ b/embersill/net/clients.py
@@ -5,40 +5,42 @@
 import asyncio
 import errno
 import logging
-import re
+import select
 import socket
 from collections import deque
 from collections.abc import Callable
-from functools import lru_cache
+from operator import attrgetter
 from typing import cast
 
 import httptools
 
-from embersill.interface import Repeats, Settings
-from embersill.net.driver import Call, Driver
+from embersill.interface import Settings
+from embersill.net.calls import BadRequest, CallReader
+from embersill.net.driver import Driver
 
 MOST_BODY = 64 * 1024  # bytes of a request's body, by the protocol
 MOST_HEAD = 32 * 1024  # bytes of request line and headers: a generous browser sends a quarter of it
 MOST_PIPELINED = 16  # requests under way on one connection: further ones stay unread
 PIECE = 8192  # bytes given to the parser at a time: so many small requests at most go past that bound
-SETTLED = 0.1  # seconds unused from which a connection may make way: its next request may be here unread
-STALLED = 5.0  # seconds without a byte from which a half-sent request may lose its place to another client
+SETTLED = 0.1  # seconds unused from which a connection may make way: a new one brings its request at once
+READ_WITHIN = 2.0  # seconds for a request to come whole, and for a new connection to send anything at all
+IDLE_LIMIT = 10.0  # seconds unused after which a connection is closed
+IDLE_LIMIT_FULL, FULL_FROM = 2.1, 0.5  # the same from this part of the connections there may be
+UNREAD_LIMIT = 5.0  # seconds for a client to read its answers
+SWEEP_EVERY = 0.25  # seconds between looks for those whose time is up
+MOST_ERRORS = 4  # requests out of form on one connection, after which it is closed
+ERROR_PAUSE = 0.1  # seconds after one in which no more is read: each costs as much work as a request
 LINGER = 1.0  # seconds for a peer to read an error answer before its connection goes
+MAKE_WAY = 16  # connections at most that make way at one look: the look costs more than they do
 BACKLOG = 1024
 ACCEPT_AGAIN = 0.02  # seconds until the next try where no descriptor was left for a connection
 ACCEPTS = 64  # connections taken in at one go, so that those at hand get their turn
 
-CALL_ID = re.compile(rb"[0-9A-Za-z_.-]{1,64}")
-CLIENT = re.compile(rb"[?&]client=([^&]*)")
-CUSTOMER = re.compile(rb"[0-9A-Fa-f]{16}")
-BUDGET = re.compile(rb"\d{1,6}(\.\d{1,9})?")
-KEY = re.compile(rb"[!-~]{1,256}")
-QUOTA = re.compile(rb"\s*([a-z_]+)\s*=\s*(\d{1,9}(?:\.\d{1,9})?)\s*")
 SINGLE = frozenset((b"x-call-id", b"x-call-class", b"plan", b"x-budget", b"idempotency-key", b"quota-info",
                     b"x-again", b"content-length", b"host"))
 REASONS = {
     200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
-    413: b"Content Too Large", 417: b"Expectation Failed", 429: b"Too Many Requests",
+    408: b"Request Timeout", 409: b"Conflict", 413: b"Content Too Large", 429: b"Too Many Requests",
     431: b"Request Header Fields Too Large", 502: b"Bad Gateway", 503: b"Service Unavailable",
     504: b"Gateway Timeout",
 }
@@ -46,95 +48,6 @@
 log = logging.getLogger("embersill")
 
 
-class BadRequest(Exception):
-    """What a client sent is not in the protocol's form."""
-
-    def __init__(self, status: int, text: str, headers: bytes = b"") -> None:
-        super().__init__(text)
-        self.status, self.headers = status, headers
-
-
-@lru_cache(maxsize=4096)
-def read_quota(text: bytes) -> tuple[float, int, int]:
-    """Units, spread and first of a Quota-Info; kept, since few different ones come again and again."""
-    found: dict[bytes, float] = {}
-    for part in text.split(b","):
-        match = QUOTA.fullmatch(part)
-        if match is None or match[1] in found:
-            raise BadRequest(400, "Quota-Info is not in its form")
-        found[match[1]] = float(match[2])
-    try:
-        units, width, first = found[b"units"], int(found[b"spread"]), int(found[b"first"])
-    except KeyError as error:
-        raise BadRequest(400, "Quota-Info lacks units, spread or first") from error
-    if units <= 0 or width < 1:
-        raise BadRequest(400, "Quota-Info has no units or no gateways")
-    return units, width, first
-
-
-class CallReader:
-    """Turns requests into calls by the settings' classes and plans, and words what is wrong with the rest."""
-
-    def __init__(self, settings: Settings) -> None:
-        self.classes = {c.name: c for c in settings.classes}
-        self.plans = {p.name for p in settings.plans}
-
-    def read(self, received: float, method: bytes, target: bytes, headers: dict[bytes, bytes],
-             body: bytes) -> Call:
-        customer = self.customer(target)
-        klass = self.classes.get(self.needed(headers, b"x-call-class").decode("latin-1"))
-        if klass is None:
-            raise BadRequest(400, "X-Call-Class names no class")
-        wanted = b"GET" if klass.repeats is Repeats.SAFE else b"POST"
-        if method != wanted:
-            raise BadRequest(405, "the class goes by another method", b"Allow: %b\r\n" % wanted)
-        plan = self.needed(headers, b"plan").decode("latin-1")
-        if plan not in self.plans:
-            raise BadRequest(400, "Plan names no plan")
-        if body and method == b"GET":
-            raise BadRequest(400, "a GET with a body")
-        units, width, first = read_quota(self.needed(headers, b"quota-info"))
-        return Call(
-            received=received, budget=float(self.matched(headers, b"x-budget", BUDGET)), klass=klass.name,
-            plan=plan, customer=customer, units=units, width=width,
-            first_gateway=first, repeat=headers.get(b"x-again") == b"1",
-            head=self.head(method, target, headers, klass.repeats, body), body=body,
-        )
-
-    def head(self, method: bytes, target: bytes, headers: dict[bytes, bytes], repeats: Repeats,
-             body: bytes) -> bytes:
-        """What goes on to a backend, unchanged; the budget is the gateway's own and comes last."""
-        lines = [b"%b %b HTTP/1.1" % (method, target), b"Host: %b" % headers.get(b"host", b"backend.local"),
-                 b"X-Call-Id: %b" % self.matched(headers, b"x-call-id", CALL_ID)]
-        if repeats is Repeats.BY_KEY:
-            lines.append(b"Idempotency-Key: %b" % self.matched(headers, b"idempotency-key", KEY))
-        elif b"idempotency-key" in headers:
-            raise BadRequest(400, "Idempotency-Key on a class that carries none")
-        if method != b"GET":
-            lines.append(b"Content-Length: %d" % len(body))
-            if b"content-type" in headers:
-                lines.append(b"Content-Type: %b" % headers[b"content-type"])
-        return b"\r\n".join((*lines, b""))
-
-    def customer(self, target: bytes) -> str:
-        found: list[bytes] = CLIENT.findall(target)
-        if len(found) != 1 or not CUSTOMER.fullmatch(found[0]):
-            raise BadRequest(400, "client is not 16 hex digits")
-        return found[0].decode().lower()
-
-    def needed(self, headers: dict[bytes, bytes], name: bytes) -> bytes:
-        value = headers.get(name)
-        if not value:
-            raise BadRequest(400, f"no {name.decode().title()}")
-        return value
-
-    def matched(self, headers: dict[bytes, bytes], name: bytes, form: re.Pattern[bytes]) -> bytes:
-        value = self.needed(headers, name)
-        if not form.fullmatch(value):
-            raise BadRequest(400, f"{name.decode().title()} is not in its form")
-        return value
-
-
 class Exchange:
     """One request on a connection and its answer, which goes out when those before it have gone."""
 
@@ -161,10 +74,14 @@
         self.front = front
         self.transport: asyncio.Transport | None = None
         self.exchanges: deque[Exchange] = deque()
-        self.parser = httptools.HttpRequestParser(self)
-        self.idle_since = front.clock()
-        self.received = 0.0
+        self.descriptor = -1
+        self.parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
+        self.idle_since = self.begun = front.clock()  # without a request; the one half read came
+        self.received = self.ended_at = self.stuck_since = 0.0
+        self.errors = 0
+        self.rest: asyncio.TimerHandle | None = None  # until when nothing more is read, after an error
         self.unread = b""
+        self.used = False  # anything was sent on it
         self.paused = self.ended = self.closing = self.stuck = self.parsing = False
         self.in_request, self.in_head, self.head_size = False, False, 0
         self.start_request()
@@ -177,12 +94,14 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is one in all but its bases
+        self.descriptor = self.transport.get_extra_info("socket").fileno()
         self.front.connections.add(self)
 
     # what the parser tells
 
     def on_message_begin(self) -> None:
         self.start_request()
+        self.begun = self.received
         self.in_request = self.in_head = True
         self.head_size = 0  # pieces end in the midst of many heads: each has the whole bound
 
@@ -212,7 +131,7 @@
 
     def on_message_complete(self) -> None:
         self.in_request = False
-        if self.ended:
+        if self.ended or self.parser is None:
             return
         keep = self.parser.should_keep_alive() and self.parser.get_http_version() == "1.1"
         exchange = Exchange(self, keep)
@@ -226,16 +145,29 @@
             self.refuse(exchange, error)
 
     def refuse(self, exchange: Exchange, error: BadRequest) -> None:
-        body = b"" if self.parser.get_method() == b"HEAD" else f"{error}\n".encode()
-        exchange.answer(error.status, body, error.headers)
+        """An error for what is out of form, and a pause: the same may come again at once."""
+        self.errors += 1
+        if self.errors >= MOST_ERRORS:
+            exchange.keep, self.ended = False, True
+        elif self.rest is None:
+            self.rest = self.front.loop.call_later(ERROR_PAUSE, self.rested)
+        head = self.parser is not None and self.parser.get_method() == b"HEAD"
+        exchange.answer(error.status, b"" if head else f"{error}\n".encode(), error.headers)
+
+    def rested(self) -> None:
+        self.rest = None
+        self.read_on()
 
     def route(self, exchange: Exchange) -> None:
+        assert self.parser is not None
         method, path = self.parser.get_method(), self.target.partition(b"?")[0]
         if path == b"/api":
             if method not in (b"GET", b"POST"):
                 raise BadRequest(405, "only GET and POST", b"Allow: GET, POST\r\n")
             front = self.front
             call = front.reader.read(self.received, method, self.target, self.headers, b"".join(self.body))
+            if front.driver.is_open(call.id):  # an answer to the one would end the other
+                raise BadRequest(409, "a request with this X-Call-Id is open")
             exchange.number = front.driver.take(call, exchange)
         elif path == b"/ready":
             if method != b"GET":
@@ -250,12 +182,13 @@
         if self.ended:
             return  # the last answer is on its way; what still comes is read only so that it gets there
         self.received = self.front.clock()
+        self.used = True
         self.unread = self.unread + data if self.unread else data
         self.read_on()
 
     def read_on(self) -> None:
         """Parses what has come, as far as the bound on requests under way allows."""
-        while self.unread and not (self.ended or self.is_full()):
+        while self.unread and not (self.ended or self.is_full() or self.rest):
             piece = self.unread
             if len(piece) > PIECE:
                 piece = piece[:PIECE]
@@ -264,6 +197,8 @@
         self.pace()
 
     def parse(self, piece: bytes) -> None:
+        if self.parser is None:
+            return
         self.parsing = True  # an answer given at once must not start the parser again from inside itself
         try:
             self.parser.feed_data(piece)
@@ -292,7 +227,7 @@
 
     def pace(self) -> None:
         """Stops reading while enough is under way: a client that only sends can't fill the memory."""
-        full = self.is_full() or bool(self.unread)
+        full = self.is_full() or bool(self.unread) or self.rest is not None
         if self.transport is None or full == self.paused or self.ended:
             return
         self.paused = full
@@ -303,6 +238,7 @@
 
     def pause_writing(self) -> None:
         self.stuck = True  # the client does not read its answers: it gets no further ones
+        self.stuck_since = self.front.clock()
         self.pace()
 
     def resume_writing(self) -> None:
@@ -327,14 +263,21 @@
 
     def end(self) -> None:
         """Closes after the last answer; the peer may have more on its way, which must not cut it off."""
+        self.ended = True
+        if self.closing or self.transport is None or self.transport.is_closing():
+            return
+        self.closing, self.ended_at = True, self.front.clock()
+        if self.paused:
+            self.transport.resume_reading()
+            self.paused = False
+        self.unread = b""
+        self.transport.write_eof()
+
+    def drop(self) -> None:
+        """Closes at once, for one to which nothing is owed or that had its time to read it."""
         self.ended = self.closing = True
-        if self.transport is not None and not self.transport.is_closing():
-            if self.paused:
-                self.transport.resume_reading()
-                self.paused = False
-            self.unread = b""
-            self.transport.write_eof()
-            asyncio.get_running_loop().call_later(LINGER, self.transport.close)
+        if self.transport is not None:
+            self.transport.abort() if self.stuck else self.transport.close()
 
     def eof_received(self) -> bool:
         """The client sends no more. It may still read: only a broken connection tells that it has gone."""
@@ -344,9 +287,11 @@
         return True
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.front.closed(self)
-        self.transport = None
+        self.front.connections.discard(self)
+        self.transport = self.parser = None  # the parser knows its connection: parted, both are freed at once
         self.ended = True
+        if self.rest is not None:
+            self.rest.cancel()
         exchanges, self.exchanges = self.exchanges, deque()
         for exchange in exchanges:
             if exchange.number and exchange.text is None:
@@ -367,13 +312,44 @@
         return self.transport is None or self.transport.get_write_buffer_size() == 0
 
     def is_idle(self) -> bool:
-        """True if closing it loses nothing: no request was taken here, nor is one on its way."""
-        if self.exchanges or self.closing or self.unread:
+        """True if closing it loses nothing: no request was taken here, nor is one half read."""
+        return not (self.exchanges or self.closing or self.unread or self.in_request)
+
+    def is_quiet(self) -> bool:
+        """True if nothing that the client sent waits to be read."""
+        poll = select.poll()
+        poll.register(self.descriptor, select.POLLIN)
+        return not poll.poll(0)
+
+    def look_after(self, now: float, idle_limit: float) -> None:
+        """Ends what has had its time: a client is owed an error or a close soon, whatever it sent."""
+        if self.closing:
+            if now - self.ended_at > LINGER:
+                self.drop()
+        elif self.stuck:
+            if now - self.stuck_since > UNREAD_LIMIT:
+                self.drop()
+        elif self.in_request and not (self.exchanges or self.unread):
+            if now - self.begun > READ_WITHIN:
+                self.break_off(408, "the request did not come whole in time")
+        elif self.is_idle():
+            limit = idle_limit if self.used else READ_WITHIN
+            if now - self.idle_since > limit and self.is_quiet():
+                self.drop()
+
+    def make_way(self, now: float) -> bool:
+        """Gives up its place to another client, if that loses nothing that was taken."""
+        if self.closing:
+            self.drop()
+            return True
+        if self.exchanges or self.unread or now - max(self.idle_since, self.received) < SETTLED:
             return False
-        now = self.front.clock()
         if self.in_request:
-            return now - self.received > STALLED
-        return now - self.idle_since > SETTLED
+            self.break_off(408, "the request did not come whole, and others wait")
+        if not self.in_request and not self.is_quiet():
+            return False
+        self.drop()
+        return True
 
 
 class Front:
@@ -394,6 +370,7 @@
         self.listener: socket.socket | None = None
         self.again: asyncio.TimerHandle | None = None
         self.stopping = False
+        self.sweeper = self.loop.call_later(SWEEP_EVERY, self.sweep)
 
     def is_ready(self) -> bool:
         return not self.stopping and self.serves()
@@ -434,13 +411,25 @@
             sock.close()
 
     def has_room(self) -> bool:
-        """True if one more fits; the longest idle makes way, as its client can open another."""
+        """True if one more fits; those longest without a request make way: a crowd may never send one."""
         if len(self.connections) + len(self.taking_in) < self.most:
             return True
-        oldest = min((c for c in self.connections if c.is_idle()), default=None, key=lambda c: c.idle_since)
-        if oldest is not None:
-            oldest.end()
-        return False
+        now, gone = self.clock(), 0
+        for connection in sorted(self.connections, key=attrgetter("used", "idle_since")):
+            if connection.make_way(now):
+                self.connections.discard(connection)  # its descriptor is free before the loop's next round
+                gone += 1
+                if gone == MAKE_WAY:
+                    break
+        return gone > 0
+
+    def sweep(self) -> None:
+        self.sweeper.cancel()
+        now = self.clock()
+        full = len(self.connections) >= FULL_FROM * self.most
+        for connection in list(self.connections):
+            connection.look_after(now, IDLE_LIMIT_FULL if full else IDLE_LIMIT)
+        self.sweeper = self.loop.call_later(SWEEP_EVERY, self.sweep)
 
     def pause(self) -> None:
         """Leaves connections in the kernel's queue, where nothing is lost, until there is room again."""
@@ -454,9 +443,6 @@
             self.loop.add_reader(self.listener, self.accept)
             self.accept()
 
-    def closed(self, connection: ClientConnection) -> None:
-        self.connections.discard(connection)
-
     def stop_listening(self) -> None:
         """Takes in what already waits, then listens no more."""
         if self.listener is not None:
@@ -477,3 +463,8 @@
         for connection in list(self.connections):
             if connection.is_idle():
                 connection.end()
+
+    def close(self) -> None:
+        self.sweeper.cancel()
+        for connection in list(self.connections):
+            connection.drop()
--- a/embersill/net/driver.py
+++ b/embersill/net/driver.py
@@ -34,6 +34,7 @@
 class Call:
     """A client's request in the protocol's terms, as it goes to the module and to backends."""
 
+    id: bytes
     received: float
     budget: float
     klass: str
@@ -79,6 +80,7 @@
         self.counter: Counter | None = None
         self.loop = asyncio.get_running_loop()
         self.pending: dict[int, Pending] = {}
+        self.open: set[bytes] = set()  # the clients' ids of these
         self.unanswered = 0
         self.taken = 0
         self.all_answered = asyncio.Event()
@@ -97,6 +99,7 @@
         self.taken += 1
         pending = Pending(self, self.taken, call, exchange)
         self.pending[pending.number] = pending
+        self.open.add(call.id)
         self.unanswered += 1
         end = call.received + call.budget - min(GUARD, SCANT * call.budget / 2)
         pending.guard = self.loop.call_later(max(end - self.clock(), 0.0), self.rescue, pending)
@@ -106,6 +109,9 @@
         ))
         return pending.number
 
+    def is_open(self, call_id: bytes) -> bool:
+        return call_id in self.open
+
     def client_left(self, number: int) -> None:
         pending = self.pending.get(number)
         if pending is not None and not pending.over:
@@ -241,8 +247,8 @@
                 attempt.end(Answer(Outcome.NOT_SENT))
 
     def forget(self, pending: Pending) -> None:
-        if pending.over and not pending.out:
-            self.pending.pop(pending.number, None)
+        if pending.over and not pending.out and self.pending.pop(pending.number, None) is not None:
+            self.open.discard(pending.call.id)
 
     def rescue(self, pending: Pending) -> None:
         """The guard: the module should have ended this request by now, and its client's time is up."""
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -8,7 +8,7 @@
 import pytest
 
 from embersill.net.backends import RESTED
-from embersill.net.clients import MOST_BODY, MOST_HEAD, STALLED
+from embersill.net.clients import MOST_BODY, MOST_ERRORS, MOST_HEAD, SETTLED
 from tests.bed import READY, Bed, Client, request, roomy_settings, run, running
 from tests.peers import SOON, Asked, message, serve
 
@@ -122,6 +122,22 @@
     (request(1).replace(b"GET ", b"DELETE "), 405),
     (request(1).replace(b"GET ", b"POST "), 405),
     (b"POST /ready HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", 405),
+    (request(1, Quota_Info="units=9,spread=2,first=0"), 400),
+    (request(1, Quota_Info="units=999999999,spread=2,first=0"), 400),
+    (request(1, Quota_Info="units=nan,spread=2,first=0"), 400),
+    (request(1, Quota_Info="units=1,spread=3,first=0"), 400),
+    (request(1, Quota_Info="units=1,spread=0,first=0"), 400),
+    (request(1, Quota_Info="units=1,spread=1.5,first=0"), 400),
+    (request(1, Quota_Info="units=1,spread=2,first=2"), 400),
+    (request(1, customer="0000000200000000"), 400),
+    (request(1, budget=8.2), 400),
+    (request(1, budget=0.0), 400),
+    (request(1, "extract").replace(b"Content-Length: 10", b"Content-Length:\r\n 10"), 400),
+    (request(1, "extract", Content_Length="10\r\nContent-Length: 10"), 400),
+    (request(1, "extract", Content_Length="-1"), 400),
+    (request(1, "extract", Content_Length="10\r\n Transfer-Encoding: chunked"), 400),
+    (request(1, "extract", Transfer_Encoding="chunked"), 400),
+    (request(1, "extract", Transfer_Encoding="identity"), 400),
     (request(1, "extract", body=b"x" * (MOST_BODY + 1)), 413),
     (request(1, "extract", drop="Content-Length", body=b"", Transfer_Encoding="chunked")
      + b"20000\r\n" + b"x" * 0x20000 + b"\r\n0\r\n\r\n", 413),
@@ -207,15 +223,127 @@
 def test_half_sent_requests_make_way_for_clients_that_ask() -> None:
     async def test(bed: Bed, client: Client) -> None:
         front, now = bed.program.front, bed.program.front.clock()
-        front.most = 1
+        front.clock = lambda: now
+        client = await bed.client()
         client.send(request(1)[:40])
-        while not any(c.in_request for c in front.connections):
-            await asyncio.sleep(0)
+        await until(lambda: any(c.in_request for c in front.connections))
+        front.most = len(front.connections)
         assert not front.has_room()
         assert not any(c.closing for c in front.connections)
-        front.clock = lambda: now + STALLED + 1.0
+        front.clock = lambda: now + 2 * SETTLED
         other = await bed.client()
         assert (await other.ask(READY))[0] == 200
+        assert (await client.answer())[0] == 408 and await client.closed()
+
+    with_bed(test)
+
+
+def test_a_crowd_that_says_nothing_does_not_keep_out_those_who_ask() -> None:
+    # one place in 20 ms was freed, and kept for a second more: hundreds of silent ones held all of them
+    async def test(bed: Bed, client: Client) -> None:
+        front = bed.program.front
+        front.most = 40
+        silent = [await bed.client() for _ in range(400)]
+        asking = [await bed.client() for _ in range(20)]
+        for number, one in enumerate(asking):
+            one.send(request(number))
+        for one in asking:
+            assert (await one.answer())[0] in (200, 429)
+        assert sum(s.reader.at_eof() for s in silent) > 300
+
+    with_bed(test)
+
+
+async def until(done: Callable[[], bool]) -> None:
+    async with asyncio.timeout(SOON):
+        while not done():
+            await asyncio.sleep(0)
+
+
+@pytest.mark.parametrize(("sent", "status"), [(b"", 0), (b"\r\n" * 5, 408), (request(1)[:40], 408),
+                                              (request(1, "extract")[:-3], 408)])
+def test_one_that_sends_nothing_whole_is_owed_an_error_or_a_close_within_three_seconds(
+    sent: bytes, status: int
+) -> None:
+    async def test() -> None:
+        async with running() as bed:
+            front, now = bed.program.front, bed.program.front.clock()
+            front.clock = lambda: now
+            client = await bed.client()
+            client.send(sent)
+            await until(lambda: len(front.connections) == 1)
+            (connection,) = front.connections
+            await until(lambda: connection.used == bool(sent) and connection.in_request == (status > 0))
+            front.clock = lambda: now + 1.9
+            front.sweep()
+            assert not connection.closing
+            front.clock = lambda: now + 2.7
+            front.sweep()
+            if status:
+                assert (await client.answer())[0] == status
+            assert await client.closed()
+
+    run(test)
+
+
+def test_connections_that_asked_once_and_stay_are_closed_not_before_two_seconds() -> None:
+    async def test(bed: Bed, client: Client) -> None:
+        front = bed.program.front
+        assert (await client.ask(request(1)))[0] == 200
+        (connection,) = front.connections
+        front.most = 2
+        since = connection.idle_since
+        front.clock = lambda: since + 2.0
+        front.sweep()
+        assert not connection.closing
+        front.clock = lambda: since + 3.0
+        front.sweep()
+        assert await client.closed() and not front.connections
+
+    with_bed(test)
+
+
+def test_an_id_that_is_open_already_is_an_error_for_the_second_only() -> None:
+    async def test(bed: Bed, client: Client) -> None:
+        free = asyncio.Event()
+
+        async def late(writer: asyncio.StreamWriter, asked: Asked) -> None:
+            await free.wait()
+            serve(writer, asked)
+
+        bed.backends[0].script = [late]
+        client.send(request(1))
+        await bed.backends[0].until(lambda: len(bed.backends[0].seen) == 1)
+        other = await bed.client()
+        assert (await other.ask(request(1)))[0] == 409
+        free.set()
+        assert (await client.answer())[0] == 200
+        assert (await other.ask(request(1)))[0] == 200 and not bed.program.driver.open
+
+    with_bed(test)
+
+
+def test_errors_on_a_connection_are_spaced_and_then_end_it() -> None:
+    # the same comes again as soon as it is turned away, at full speed: each costs as much as a request
+    async def test(bed: Bed, client: Client) -> None:
+        bad = request(1, Plan="gold")
+        assert (await client.ask(bad))[0] == 400
+        (connection,) = bed.program.front.connections
+        assert connection.rest is not None and connection.paused
+        client.send(bad * 300)
+        for _ in range(MOST_ERRORS - 1):
+            assert (await client.answer())[0] == 400
+        assert await client.closed()
+
+    with_bed(test)
+
+
+def test_the_error_reaches_one_who_goes_on_sending_a_huge_body() -> None:
+    async def test(bed: Bed, client: Client) -> None:
+        client.send(request(1, "extract", body=b"", Content_Length="60000000"))
+        for _ in range(100):
+            client.send(b"x" * 600_000)
+        assert (await client.answer())[0] == 413
         assert await client.closed()
 
     with_bed(test)
