--- a/embersill/net/clients.py
+++ b/embersill/net/clients.py
@@ -81,7 +81,7 @@
         self.errors = 0
         self.rest: asyncio.TimerHandle | None = None  # until when nothing more is read, after an error
         self.unread = b""
-        self.used = False  # anything was sent on it
+        self.used = False  # a request was begun on it: empty lines are none
         self.paused = self.ended = self.closing = self.stuck = self.parsing = False
         self.in_request, self.in_head, self.head_size = False, False, 0
         self.start_request()
@@ -101,6 +101,7 @@
 
     def on_message_begin(self) -> None:
         self.start_request()
+        self.used = True
         self.begun = self.received
         self.in_request = self.in_head = True
         self.head_size = 0  # pieces end in the midst of many heads: each has the whole bound
@@ -182,7 +183,6 @@
         if self.ended:
             return  # the last answer is on its way; what still comes is read only so that it gets there
         self.received = self.front.clock()
-        self.used = True
         self.unread = self.unread + data if self.unread else data
         self.read_on()
 
