What is beyond a quota that pays for it goes on while the fleet has room

Counts in flight were 1 to 10, limits 7 to 17, passed 1.00, nobody shunned: the choice of backends was not it. To blame: arrive() and drop_held() of control.py, which refuse every overflow alike.

--- a/embersill/control.py
+++ b/embersill/control.py
@@ -7,12 +7,13 @@
 from collections import deque
 
 from embersill.interface import (
-    Action, AttemptEnded, Backend, BackendList, Cancel, ClientLeft, Count, Counted, Event, Fail, ListKind,
+    Action, AttemptEnded, BackendList, Cancel, ClientLeft, Count, Counted, Event, Fail, ListKind,
     Outcome, Plan, Refuse, Repeats, Request, RequestClass, Scope, Send, SetTimer, Settings, Status,
     StreamBegun, Subscribe, TimerDue,
 )
+from embersill.throttle import EPS, PERIOD, Throttle
+from embersill.work import LEAST_LIMIT, START_LIMIT, Attempt, Job, Server
 
-PERIOD = 1.0  # seconds a demand count covers; the design's own, and short against a client's patience
 HOLD_SHARE = 0.4  # of the aim that a request may wait for credit: the rest must do for the backend
 READING_LIFE = 2.5  # periods a reading decides the slice: outlives one lost call, not a silent counter
 DEMAND_BLEND = 0.5  # weight of the last period in the smoothed demand: a few requests a second make it jump
@@ -23,15 +24,16 @@
 SOON = 0.25  # of the period until the counter is told; of the burst unused until its sum is put right
 COUNT_MORE = 1.1  # times the counted part of thin requests for each prompt answer of the counter
 COUNT_LESS = 0.7  # and for a call it turns away or is late with: one call in five fails at most
+PROMPT = 1.25  # times the counter's shortest time that a prompt answer takes: it found next to no queue
+SHORTEST_GROWS = 1.001  # times, by each answer, that the shortest time is taken to be: it may have slowed
+SILENT_FROM = 3  # calls that fail one after the other from which the counter is silent, not only crowded
+ROOMY = 0.5  # of the limit on what is out, below which requests beyond a quota that pays for them go on
 BLEND = 0.15  # weight of one sample in a backend's learned figures: about the last dozen answers count
-FORGET = 8.0  # seconds in which what is held against a backend halves: troubles last five to forty
 WORST = 8.0  # most that is held against one: it is drawn again after four halvings at the latest
 SHUN = 0.5  # what is held against a backend from which another draw is made in its place
 COLD_PART = 0.25  # of the work that would push a cold backend over, at most: chance and large work double it
 FULL_FOR = 15.0  # seconds a backend that turned a plan or a class away is passed over for it
 LATE_AT = 0.35  # of the aim from which an answer counts as late: short queues don't push a backend over
-START_LIMIT = 8.0  # attempts out at a backend, all gateways together, before anything is learned of it
-LEAST_LIMIT = 4.0  # the same once it is under pressure: less would leave the cores of a backend idle
 LEAST_OUT = 1.0  # attempts a gateway may always have out; the fraction of one is drawn
 OUT_LESS = 0.5  # taken from what is out, as its limit, for a late answer
 OUT_SLACK = 2.0  # attempts above what is out that a late answer leaves, less the half: chance alone needs it
@@ -45,115 +47,6 @@
 RETRY_STORE = 10.0  # further attempts that may be saved up: enough for one backend's sudden end
 CHOICES = 2  # candidates drawn for each send: two see the load, and more would herd on one gateway's view
 DRAWS = 8  # draws for these: with half of the fleet unfit one in 256 fails, and a scan is made
-EPS = 1e-9  # float slack where levels are compared
-
-
-class Throttle:
-    """Token bank and job buffer of one customer here, as one level: above nought credit, below units held.
-
-    A request is charged as it comes and leaves first come, once the credit without those behind covers it.
-    """
-
-    def __init__(
-        self, customer: str, plan: Plan, width: int, now: float, born: float, most_units: float = 0.0
-    ) -> None:
-        self.customer, self.plan, self.width = customer, plan, width
-        self.share = 1.0 / width
-        self.rate, self.bank = plan.rate * self.share, plan.burst * self.share
-        self.level, self.stamp = self.bank, now
-        self.queue: deque[Job] = deque()
-        self.held = self.timer = 0.0
-        self.open = 0
-        # this gateway's part of the ceiling, as far as refilled since its start: before that it may have sent
-        self.cap_depth, self.cap_rate = plan.ceiling_depth / width, plan.ceiling_rate / width
-        self.cap = min(self.cap_depth, self.cap_rate * (now - born))
-        self.second, self.asked, self.last_asked = -1, 0.0, 0.0
-        self.own = self.total = self.read_until = self.fresh_until = 0.0
-        self.counting = self.asking = False  # a timer to count, a reading that requests wait for, is out
-        self.added, self.reading = 0.0, ""  # what this gateway added to the name it reads, and that name
-        self.thin = width > 1 and 0 < plan.burst < most_units * width and plan.rate > 0
-        self.uncounted = 0.0  # units sent on that the counter has not been told, or told too much if below
-        self.calls: deque[tuple[str, float, float]] = deque()  # out: name, units asked for, amount to keep
-
-    def refill(self, now: float) -> None:
-        self.level = max(self.level, min(self.level + self.rate * (now - self.stamp), self.bank - self.held))
-        self.cap = min(self.cap_depth, self.cap + self.cap_rate * (now - self.stamp))
-        self.stamp = now
-
-    def set_share(self, share: float, now: float) -> None:
-        self.refill(now)
-        self.share = share
-        self.rate, self.bank = self.plan.rate * share, self.plan.burst * share
-        self.level = min(self.level, self.bank - self.held)
-
-    def wait(self, units: float) -> float:
-        """Seconds until the head of the buffer, or a newcomer to an empty one, may leave."""
-        wait = 0.0
-        short = min(units, self.bank) - (self.level + self.held)
-        if self.plan.rate > 0 and short > EPS:
-            wait = short / self.rate
-        if self.plan.ceiling_rate > 0 and units - self.cap > EPS:
-            wait = max(wait, (units - self.cap) / self.cap_rate)
-        return wait
-
-    def has_open(self) -> bool:
-        return self.plan.concurrency <= 0 or self.open < max(1, self.plan.concurrency // self.width)
-
-    def note_demand(self, units: float, now: float) -> None:
-        second = int(now // PERIOD)
-        if second != self.second:
-            self.last_asked = self.asked if second == self.second + 1 else 0.0
-            self.second, self.asked = second, 0.0
-        self.asked += units
-
-    def unhold(self, job: Job) -> None:
-        self.queue.remove(job)
-        self.held = self.held - job.request.units if self.queue else 0.0
-
-    def idle(self, now: float) -> bool:
-        self.refill(now)
-        full = (self.plan.rate <= 0 or self.level >= self.bank - EPS) and self.cap >= self.cap_depth - EPS
-        return full and not (self.queue or self.open or self.counting or self.calls or self.asking)
-
-
-class Job:
-    """A request this gateway owes an answer, with its attempts."""
-
-    def __init__(self, request: Request, klass: RequestClass, throttle: Throttle, now: float) -> None:
-        self.request, self.klass, self.throttle, self.arrived = request, klass, throttle, now
-        self.attempts: list[Attempt] = []
-        self.out, self.hold_until = 0, now
-        self.ended = self.streaming = self.settled = self.trusted = self.sure = False
-        self.counted = 0.0  # units the counter was told of it; below nought: it stays uncounted
-        self.risky: Attempt | None = None  # the first attempt not proven unrun
-
-
-class Attempt:
-    def __init__(self, server: Server, now: float, weight: float) -> None:
-        self.server, self.sent, self.weight = server, now, weight
-        self.out, self.unrun, self.overdue = True, False, False
-
-
-class Server:
-    """What this gateway knows of one backend."""
-
-    def __init__(self, backend: Backend, limit: float, now: float) -> None:
-        self.backend, self.touched = backend, now
-        self.flight = self.overdue = 0  # attempts out, and those of them that are late already
-        self.bad = 0.0  # what is held against it: doubles and one more for each failure, halves with time
-        self.full: dict[tuple[str, str], float] = {}  # class and plan: until when it is passed over
-        self.limit, self.least = limit, max(1.0, limit * LEAST_LIMIT / START_LIMIT)  # attempts out from here
-
-    def cold_share(self, now: float, settings: Settings) -> float:
-        """The least part of its capacity that it has now; 1 once it must be warm."""
-        age = settings.warm_within if self.backend.started is None else max(0.0, now - self.backend.started)
-        if age >= settings.warm_within:
-            return 1.0
-        return settings.cold_from + (1.0 - settings.cold_from) * age / settings.warm_within
-
-    def fade(self, now: float) -> None:
-        self.bad *= 0.5 ** ((now - self.touched) / FORGET)
-        self.touched = now
 
 
 class Gateway:
@@ -179,6 +72,7 @@
         self.passed, self.judged = 1.0, now
         self.flight, self.limit = 0, float("inf")  # attempts out and not late, and how many may be
         self.quiet_until, self.count_fails = now, 0
+        self.shortest = settings.counter_patience  # seconds of the counter's shortest answer
         self.counted_part = min(1.0, COUNTED_GATEWAYS / settings.gateways)
         # part of the counted thin requests that had the credit, by plan and whether the slice covered them
         self.granted = {(p.name, sure): float(sure) for p in settings.plans for sure in (False, True)}
@@ -232,7 +126,7 @@
         if throttle.plan.rate > 0:
             behind = max(behind, (min(units, throttle.bank) - throttle.level) / throttle.rate)
         if behind > bound and not throttle.asking:
-            return self.answer(job, behind)
+            return self.overflow(job, behind)
         throttle.queue.append(job)
         throttle.held += units
         throttle.level -= units
@@ -244,7 +138,20 @@
         throttle.unhold(job)
         throttle.level += job.request.units
         self.take_back(job)
-        self.answer(job, throttle.wait(job.request.units))
+        self.overflow(job, throttle.wait(job.request.units))
+
+    def overflow(self, job: Job, wait: float) -> None:
+        """Refuses what the buffer does not hold, but where the plan pays for it beyond its quota.
+
+        There it goes on uncharged while the fleet has room: it takes nothing that is meant for another.
+        """
+        plan = job.throttle.plan
+        pays = plan.beyond_worth > plan.beyond_cost and plan.ceiling_rate <= 0
+        roomy = self.passed >= 1.0 and self.flight < ROOMY * self.limit
+        if pays and roomy and not job.attempts and not job.ended:
+            job.beyond = True
+            return self.place(job)
+        return self.answer(job, wait)
 
     def release(self, throttle: Throttle) -> None:
         """Lets go what the credit covers, turns away what waited too long, and sets the next exact timer."""
@@ -318,12 +225,14 @@
         throttle = self.throttles.get(event.name.rpartition(".")[0])
         if event.outcome is Outcome.SERVED:
             self.count_fails = 0
-            if event.elapsed < self.settings.counter_patience / 4:
+            self.shortest = min(self.shortest * SHORTEST_GROWS, event.elapsed)
+            if event.elapsed <= PROMPT * self.shortest:
                 self.counted_part = min(1.0, self.counted_part * COUNT_MORE)
         else:
             self.count_fails = min(self.count_fails + 1, 4)  # it is left alone for longer: the even slice
-            self.quiet_until = self.now + PERIOD * 2 ** self.count_fails / 8
-            if event.outcome is not Outcome.NO_CONNECTION and self.count_fails < 3:  # crowded, not silent
+            if event.outcome is Outcome.NO_CONNECTION or self.count_fails >= SILENT_FROM:
+                self.quiet_until = self.now + PERIOD * 2 ** self.count_fails / 8
+            else:  # crowded
                 self.counted_part = max(self.counted_part * COUNT_LESS, LEAST_PART)
         if throttle is not None and throttle.thin:
             self.level_read(throttle, event)
@@ -494,7 +403,7 @@
 
     def give_up(self, job: Job) -> None:
         throttle = job.throttle
-        if throttle.plan.rate > 0 and not job.attempts:
+        if throttle.plan.rate > 0 and not job.attempts and not job.beyond:
             throttle.level = min(throttle.level + job.request.units, throttle.bank - throttle.held)
             self.take_back(job)
         self.answer(job, PERIOD)
@@ -573,7 +482,7 @@
 
     def settle(self, job: Job, true_units: float) -> None:
         throttle = job.throttle
-        if true_units > 0 and not job.settled and throttle.plan.rate > 0:
+        if true_units > 0 and not job.settled and throttle.plan.rate > 0 and not job.beyond:
             job.settled = True
             throttle.refill(self.now)
             back = job.request.units - true_units
--- /dev/null
+++ b/embersill/throttle.py
@@ -0,0 +1,79 @@
+"""A customer's throttle at one gateway: the token bank and the job buffer of the design, as one level."""
+
+from __future__ import annotations
+
+from collections import deque
+
+from embersill.interface import Plan
+from embersill.work import Job
+
+PERIOD = 1.0  # seconds a demand count covers; the design's own, and short against a client's patience
+EPS = 1e-9  # float slack where levels are compared
+
+
+class Throttle:
+    """Token bank and job buffer of one customer here, as one level: above nought credit, below units held.
+
+    A request is charged as it comes and leaves first come, once the credit without those behind covers it.
+    """
+
+    def __init__(
+        self, customer: str, plan: Plan, width: int, now: float, born: float, most_units: float = 0.0
+    ) -> None:
+        self.customer, self.plan, self.width = customer, plan, width
+        self.share = 1.0 / width
+        self.rate, self.bank = plan.rate * self.share, plan.burst * self.share
+        self.level, self.stamp = self.bank, now
+        self.queue: deque[Job] = deque()
+        self.held = self.timer = 0.0
+        self.open = 0
+        # this gateway's part of the ceiling, as far as refilled since its start: before that it may have sent
+        self.cap_depth, self.cap_rate = plan.ceiling_depth / width, plan.ceiling_rate / width
+        self.cap = min(self.cap_depth, self.cap_rate * (now - born))
+        self.second, self.asked, self.last_asked = -1, 0.0, 0.0
+        self.own = self.total = self.read_until = self.fresh_until = 0.0
+        self.counting = self.asking = False  # a timer to count, a reading that requests wait for, is out
+        self.added, self.reading = 0.0, ""  # what this gateway added to the name it reads, and that name
+        self.thin = width > 1 and 0 < plan.burst < most_units * width and plan.rate > 0
+        self.uncounted = 0.0  # units sent on that the counter has not been told, or told too much if below
+        self.calls: deque[tuple[str, float, float]] = deque()  # out: name, units asked for, amount to keep
+
+    def refill(self, now: float) -> None:
+        self.level = max(self.level, min(self.level + self.rate * (now - self.stamp), self.bank - self.held))
+        self.cap = min(self.cap_depth, self.cap + self.cap_rate * (now - self.stamp))
+        self.stamp = now
+
+    def set_share(self, share: float, now: float) -> None:
+        self.refill(now)
+        self.share = share
+        self.rate, self.bank = self.plan.rate * share, self.plan.burst * share
+        self.level = min(self.level, self.bank - self.held)
+
+    def wait(self, units: float) -> float:
+        """Seconds until the head of the buffer, or a newcomer to an empty one, may leave."""
+        wait = 0.0
+        short = min(units, self.bank) - (self.level + self.held)
+        if self.plan.rate > 0 and short > EPS:
+            wait = short / self.rate
+        if self.plan.ceiling_rate > 0 and units - self.cap > EPS:
+            wait = max(wait, (units - self.cap) / self.cap_rate)
+        return wait
+
+    def has_open(self) -> bool:
+        return self.plan.concurrency <= 0 or self.open < max(1, self.plan.concurrency // self.width)
+
+    def note_demand(self, units: float, now: float) -> None:
+        second = int(now // PERIOD)
+        if second != self.second:
+            self.last_asked = self.asked if second == self.second + 1 else 0.0
+            self.second, self.asked = second, 0.0
+        self.asked += units
+
+    def unhold(self, job: Job) -> None:
+        self.queue.remove(job)
+        self.held = self.held - job.request.units if self.queue else 0.0
+
+    def idle(self, now: float) -> bool:
+        self.refill(now)
+        full = (self.plan.rate <= 0 or self.level >= self.bank - EPS) and self.cap >= self.cap_depth - EPS
+        return full and not (self.queue or self.open or self.counting or self.calls or self.asking)
--- /dev/null
+++ b/embersill/work.py
@@ -0,0 +1,54 @@
+"""What a gateway remembers of its requests, their attempts, and the backends that these went to."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from embersill.interface import Backend, Request, RequestClass, Settings
+
+if TYPE_CHECKING:
+    from embersill.throttle import Throttle
+
+FORGET = 8.0  # seconds in which what is held against a backend halves: troubles last five to forty
+START_LIMIT = 8.0  # attempts out at a backend, all gateways together, before anything is learned of it
+LEAST_LIMIT = 4.0  # the same once it is under pressure: less would leave the cores of a backend idle
+
+
+class Job:
+    """A request this gateway owes an answer, with its attempts."""
+
+    def __init__(self, request: Request, klass: RequestClass, throttle: Throttle, now: float) -> None:
+        self.request, self.klass, self.throttle, self.arrived = request, klass, throttle, now
+        self.attempts: list[Attempt] = []
+        self.out, self.hold_until = 0, now
+        self.ended = self.streaming = self.settled = self.trusted = self.sure = self.beyond = False
+        self.counted = 0.0  # units the counter was told of it; below nought: it stays uncounted
+        self.risky: Attempt | None = None  # the first attempt not proven unrun
+
+
+class Attempt:
+    def __init__(self, server: Server, now: float, weight: float) -> None:
+        self.server, self.sent, self.weight = server, now, weight
+        self.out, self.unrun, self.overdue = True, False, False
+
+
+class Server:
+    """What this gateway knows of one backend."""
+
+    def __init__(self, backend: Backend, limit: float, now: float) -> None:
+        self.backend, self.touched = backend, now
+        self.flight = self.overdue = 0  # attempts out, and those of them that are late already
+        self.bad = 0.0  # what is held against it: doubles and one more for each failure, halves with time
+        self.full: dict[tuple[str, str], float] = {}  # class and plan: until when it is passed over
+        self.limit, self.least = limit, max(1.0, limit * LEAST_LIMIT / START_LIMIT)  # attempts out from here
+
+    def cold_share(self, now: float, settings: Settings) -> float:
+        """The least part of its capacity that it has now; 1 once it must be warm."""
+        age = settings.warm_within if self.backend.started is None else max(0.0, now - self.backend.started)
+        if age >= settings.warm_within:
+            return 1.0
+        return settings.cold_from + (1.0 - settings.cold_from) * age / settings.warm_within
+
+    def fade(self, now: float) -> None:
+        self.bad *= 0.5 ** ((now - self.touched) / FORGET)
+        self.touched = now
--- a/tests/test_throttle.py
+++ b/tests/test_throttle.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
-from embersill.control import Gateway, Throttle
+from embersill.control import Gateway
 from embersill.interface import Count, Counted, Outcome, Refuse, Send, SetTimer, TimerDue
+from embersill.throttle import EPS, Throttle
 from tests.helpers import CAPPED, PLAN, SETTINGS, Watch, backend, backends, ended, gateway, request
 
 
@@ -136,3 +139,15 @@
     watch.gateway.throttles["c"].set_share(0.001, 100.0)  # and then the slice moves elsewhere
     watch.run_to(100.9)
     assert isinstance(watch.answered[5], Refuse) and isinstance(watch.answered[4], Refuse)
+
+
+def test_a_plan_that_pays_beyond_its_quota_is_refused_only_while_the_fleet_is_pressed() -> None:
+    # to refuse there earns nothing: what is beyond the quota costs nothing, and may be within it elsewhere
+    made = gateway(plans=(replace(PLAN, beyond_worth=0.3, beyond_cost=0.0),))
+    for number in range(12):
+        assert sends(list(made.handle(request(number), 100.0))) == 1
+        where = made.jobs[number].attempts[0].server.backend.address
+        made.handle(ended(number, 0, where, Outcome.SERVED), 100.0)
+    assert made.throttles["c"].level > -EPS  # uncharged: it is no debt of what comes later
+    made.passed = 0.9
+    assert isinstance(made.handle(request(20), 100.0)[-1], Refuse)
