Kept connections are kept for less long where they die unannounced

A probe: 526 of 5,307 sends on kept connections broke within 10 ms with nothing read, 7.6% of those that had rested under 0.1 s, 26, 38 and 50% in the next tenths; fresh ones 6%. Ruled out: surplus or an end that waited unread (is_quiet finds those; 700 closes were seen while idle). To blame: the fixed idle limit of the pool.

Now the limit shrinks with each kept connection that proves dead, and grows again with those that live.

--- a/embersill/net/backends.py
+++ b/embersill/net/backends.py
@@ -22,6 +22,9 @@
 STALLED = 0.5  # seconds that the rest of an answer may take once it has begun: what it has is ready by then
 RESTED = 0.01  # seconds unused before another request goes out: what comes behind an answer shows by then
 IDLE_PART = 0.5  # of the backends' idle limit after which a connection is closed here: well before theirs
+LEAST_IDLE = 0.05  # seconds that a connection may stay unused, however many kept ones turn out to be dead
+IDLE_LESS, IDLE_MORE = 0.7, 1.01  # times the limit for a kept one that was dead, and for one that was not
+DEAD_WITHIN = 0.02  # seconds after the write in which a dead connection breaks: an answer's cut comes later
 SWEEP_EVERY = 1.0  # seconds between looks for idle connections
 
 
@@ -118,7 +121,7 @@
         self.descriptor = -1
         self.attempt: Attempt | None = None
         self.stall: asyncio.TimerHandle | None = None
-        self.idle_since = 0.0
+        self.idle_since = self.rested = 0.0  # since when it is unused, and how long it was before
         self.unsent = False  # the kernel has not yet taken all of the request
         self.parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self.start_answer()
@@ -257,6 +260,7 @@
         # the connection is free before anybody hears of the answer: the next attempt may want it
         if whole and self.keep and not (self.unsent or self.surplus or self.garbled):
             self.attempt = attempt.connection = None
+            self.pool.was_alive(self.rested)
             self.pool.put_back(self)
         if not whole:
             attempt.end(Answer(Outcome.BROKEN))
@@ -277,6 +281,8 @@
         if self.stall is not None:
             self.stall.cancel()
         if attempt is not None:
+            if self.rested and not self.taken and self.pool.clock() - attempt.sent_at < DEAD_WITHIN:
+                self.pool.was_dead(self.rested)
             # an unsent rest proves that the backend never had the whole; a write that went through proves
             # nothing, also not on a kept connection that the backend had closed by then
             attempt.end(Answer(Outcome.NO_CONNECTION if self.unsent else Outcome.BROKEN))
@@ -301,7 +307,7 @@
         self, clock: Callable[[], float], dial_timeout: float, keepalive: float, most: int
     ) -> None:
         self.clock, self.dial_timeout, self.most = clock, dial_timeout, most
-        self.idle_limit = keepalive * IDLE_PART
+        self.idle_limit = self.most_idle = keepalive * IDLE_PART
         self.loop = asyncio.get_running_loop()
         self.lines: dict[str, Line] = {}
         self.connections: set[BackendConnection] = set()
@@ -359,10 +365,19 @@
             del line.idle[place]
             fresh = now - connection.idle_since < self.idle_limit
             if fresh and connection.usable() and connection.is_quiet():
+                connection.rested = now - connection.idle_since
                 return connection
             connection.close()
         return None
 
+    def was_dead(self, rested: float) -> None:
+        """Kept connections that die unannounced cost a request each: they are kept for less long then."""
+        self.idle_limit = max(min(self.idle_limit, rested) * IDLE_LESS, LEAST_IDLE)
+
+    def was_alive(self, rested: float) -> None:
+        if rested > self.idle_limit / 2:
+            self.idle_limit = min(self.idle_limit * IDLE_MORE, self.most_idle)
+
     def has_room(self) -> bool:
         """True if one more may be dialled; an idle connection makes way where the bound is reached."""
         if len(self.connections) + len(self.dialling) < self.most:
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -379,3 +379,23 @@
             await other.stop()
 
     run(test)
+
+
+def test_kept_connections_that_die_unannounced_are_kept_for_less_long() -> None:
+    # each costs the request that is written to it, which may have run: only a new connection is sure to live
+    async def test() -> None:
+        now = 0.0
+        async with sending(says(message(200)), cuts, keepalive=60.0) as (sender, peer):
+            sender.pool.clock = lambda: now
+            assert await sender.outcome() is Outcome.SERVED
+            now = 5.0
+            assert await sender.outcome() is Outcome.BROKEN and peer.connections == 1
+            assert await sender.outcome() is Outcome.SERVED and peer.connections == 2
+            now = 9.0  # as long as was too long
+            assert await sender.outcome() is Outcome.SERVED and peer.connections == 3
+            now = 11.0
+            before = sender.pool.idle_limit
+            assert await sender.outcome() is Outcome.SERVED and peer.connections == 3
+            assert before < sender.pool.idle_limit < 30.0  # one that lives tells that longer would do as well
+
+    run(test)
