Cold backends take their share at the fleet's own load

A log of the module's view each second: four of eight backends unreachable from 9.5 to 14 s (rightly out, bad 8), back at 0.19 of their capacity with 16 s to warm, and then with 0 out at every gateway up to a cold share of 0.76, beside four warm ones that were late. To blame: cold_chance(), a quarter of what would push one over, cut again by fleet_fails, which those late answers kept at 0.2 to 0.5.

--- a/embersill/control.py
+++ b/embersill/control.py
@@ -31,7 +31,8 @@
 BLEND = 0.15  # weight of one sample in a backend's learned figures: about the last dozen answers count
 WORST = 8.0  # most that is held against one: it is drawn again after four halvings at the latest
 SHUN = 0.5  # what is held against a backend from which another draw is made in its place
-COLD_PART = 0.25  # of the work that would push a cold backend over, at most: chance and large work double it
+COLD_PART = 0.34  # of the work that would push a cold backend over, at most: chance and large work double it
+COLD_PRESSED = 0.7  # of that part which is left while answers fail or are late: the sound ones need the help
 FULL_FOR = 15.0  # seconds a backend that turned a plan or a class away is passed over for it
 LATE_AT = 0.35  # of the aim from which an answer counts as late: short queues don't push a backend over
 LEAST_OUT = 1.0  # attempts a gateway may always have out; the fraction of one is drawn
@@ -380,7 +381,7 @@
 
     def cold_chance(self, server: Server) -> float:
         """The part kept of draws that fall on a cold backend, alike at all gateways: of a warm one's work."""
-        part = min(1.0, self.settings.fall_multiple * COLD_PART) * (1.0 - self.fleet_fails)
+        part = min(1.0, self.settings.fall_multiple * COLD_PART) * max(1.0 - self.fleet_fails, COLD_PRESSED)
         return part * server.cold_share(self.now, self.settings)
 
     def pressed(self, job: Job) -> bool:
--- a/tests/test_throttle.py
+++ b/tests/test_throttle.py
@@ -151,3 +151,13 @@
     assert made.throttles["c"].level > -EPS  # uncharged: it is no debt of what comes later
     made.passed = 0.9
     assert isinstance(made.handle(request(20), 100.0)[-1], Refuse)
+
+
+def test_a_cold_backend_takes_its_share_also_while_the_others_are_late() -> None:
+    # cut by every late answer of the rest, it stood idle just when half a fleet had come back and was needed
+    cold = replace(backend("b"), started=98.0)
+    made = gateway(listed=backends(backend("a"), cold))
+    share = made.servers["b"].cold_share(100.0, made.settings)
+    assert 0.2 < share < 1.0
+    made.fleet_fails = 0.9
+    assert made.cold_chance(made.servers["b"]) > 0.5 * share
