--- a/embersill/control.py
+++ b/embersill/control.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import zlib
 from collections import deque
@@ -339,7 +340,7 @@
     def usual_for(self, job: Job) -> float:
         """Seconds such a request takes on the fleet."""
         fallback = self.usual.get((job.klass.name, 0.0), job.klass.aim / 8)
-        return self.usual.get((job.klass.name, job.request.units), fallback)
+        return self.usual.get(usual_key(job), fallback)
 
     def place(self, job: Job) -> None:
         """Finds a backend for a request that has its credit, or turns it away."""
@@ -521,7 +522,7 @@
             return None
         server.bad /= 2
         server.full.pop(kind, None)
-        for key in ((job.klass.name, job.request.units), (job.klass.name, 0.0)):
+        for key in (usual_key(job), (job.klass.name, 0.0)):
             before = self.usual.get(key, event.elapsed)
             self.usual[key] = before + BLEND / 3 * (event.elapsed - before)
         name, slow = server.backend.kind, event.elapsed / max(attempt.weight, 1e-4)
@@ -616,6 +617,11 @@
     return limit + OUT_MORE if out + 1 > limit / 2 else limit
 
 
+def usual_key(job: Job) -> tuple[str, float]:
+    """Whole units: a fraction is the client's word, and each other one would be kept for good."""
+    return job.klass.name, float(math.ceil(job.request.units))
+
+
 def group_of(klass: RequestClass, server: Server) -> str | int:
     if klass.scope is Scope.ALL:
         return ""
--- a/tests/test_throttle.py
+++ b/tests/test_throttle.py
@@ -161,3 +161,13 @@
     assert 0.2 < share < 1.0
     made.fleet_fails = 0.9
     assert made.cold_chance(made.servers["b"]) > 0.5 * share
+
+
+def test_what_is_learned_is_bounded_whatever_units_clients_name() -> None:
+    made = gateway()
+    for number in range(200):
+        made.handle(request(number, customer=str(number), units=1.0 + number / 1000), 100.0)
+        if number in made.jobs:
+            where = made.jobs[number].attempts[0].server.backend.address
+            made.handle(ended(number, 0, where, Outcome.SERVED), 100.0)
+    assert 0 < len(made.usual) <= 3
