--- a/tests/peers.py
+++ b/tests/peers.py
@@ -66,6 +66,15 @@
     writer.write(message(200, b"served " + asked[1]["x-call-id"].encode(), "Billed-Units: 2"))
 
 
+def serve_after(free: asyncio.Event) -> Step:
+    """Holds the request until the event is set."""
+    async def step(writer: asyncio.StreamWriter, asked: Asked) -> None:
+        await free.wait()
+        serve(writer, asked)
+
+    return step
+
+
 class BackendPeer(Peer):
     """Answers each request by `script`; with none left it serves the request's id."""
 
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -10,7 +10,7 @@
 from embersill.net.backends import RESTED
 from embersill.net.clients import MOST_BODY, MOST_ERRORS, MOST_HEAD, SETTLED
 from tests.bed import READY, Bed, Client, request, roomy_settings, run, running
-from tests.peers import SOON, Asked, message, serve
+from tests.peers import SOON, Asked, message, serve, serve_after
 
 
 def with_bed(test: Callable[[Bed, Client], Awaitable[None]]) -> None:
@@ -179,12 +179,7 @@
 def test_a_full_house_makes_room_by_idle_connections_only() -> None:
     async def test(bed: Bed, client: Client) -> None:
         free = asyncio.Event()
-
-        async def late(writer: asyncio.StreamWriter, asked: Asked) -> None:
-            await free.wait()
-            serve(writer, asked)
-
-        bed.backends[0].script = [late]
+        bed.backends[0].script = [serve_after(free)]
         bed.program.front.most = 2
         client.send(request(1))
         await bed.backends[0].until(lambda: len(bed.backends[0].seen) == 1)
@@ -307,12 +302,7 @@
 def test_an_id_that_is_open_already_is_an_error_for_the_second_only() -> None:
     async def test(bed: Bed, client: Client) -> None:
         free = asyncio.Event()
-
-        async def late(writer: asyncio.StreamWriter, asked: Asked) -> None:
-            await free.wait()
-            serve(writer, asked)
-
-        bed.backends[0].script = [late]
+        bed.backends[0].script = [serve_after(free)]
         client.send(request(1))
         await bed.backends[0].until(lambda: len(bed.backends[0].seen) == 1)
         other = await bed.client()
@@ -354,12 +344,7 @@
     # the first answer's "Connection: close" cut off the requests behind it, which had been taken
     async def test(bed: Bed, client: Client) -> None:
         free = asyncio.Event()
-
-        async def late(writer: asyncio.StreamWriter, asked: Asked) -> None:
-            await free.wait()
-            serve(writer, asked)
-
-        bed.backends[0].script = [late, late]
+        bed.backends[0].script = [serve_after(free)] * 2
         client.send(request(1) + request(2))
         await bed.backends[0].until(lambda: len(bed.backends[0].seen) == 2)
         bed.program.front.stopping = True
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -19,7 +19,7 @@
 import pytest
 
 from tests.bed import READY, Bed, Client, request, roomy_settings, run
-from tests.peers import HOST, SOON, Asked, CounterPeer, DiscoveryPeer, serve
+from tests.peers import HOST, SOON, CounterPeer, DiscoveryPeer, serve_after
 
 ROOT = pathlib.Path(__file__).parent.parent
 # the deploy file's command where .ci/run names it, so that what is deployed is what is tested
@@ -114,12 +114,7 @@
     async def test() -> None:
         async with process(tmp_path) as (bed, child):
             free = asyncio.Event()
-
-            async def late(writer: asyncio.StreamWriter, asked: Asked) -> None:
-                await free.wait()
-                serve(writer, asked)
-
-            bed.backends[0].script = [late]
+            bed.backends[0].script = [serve_after(free)]
             held, kept = await bed.client(), await bed.client()
             assert (await kept.ask(READY))[0] == 200
             held.send(request(1))
