--- a/embersill/__main__.py
+++ b/embersill/__main__.py
@@ -1,198 +1,45 @@
-"""The gateway: reads its configuration, starts the parts, and stops in order on SIGTERM."""
+"""The command line: reads what the process is told, starts its role, or says plainly why it can't."""
 
 from __future__ import annotations
 
-import asyncio
-import gc
-import json
+import argparse
 import logging
 import os
-import resource
 import signal
 import sys
-import time
-from collections.abc import Callable
-from dataclasses import dataclass
-from typing import Any
 
 import uvloop
 
-from embersill.control import Gateway
-from embersill.interface import ListKind, Settings
-from embersill.net.backends import Pool
-from embersill.net.clients import Front
-from embersill.net.counter import Counter
-from embersill.net.discovery import BadList, Discovery, Listing, read_address, read_listing
-from embersill.net.driver import Driver
-from embersill.settings import Limits, read_limits, read_settings
+from embersill.configuration.platform import BadConfiguration, Configuration, read_configuration
+from embersill.roles import Program
 
-RESERVE = 64  # descriptors kept for the listener, discovery, the counter, and what the run-time itself needs
-RESERVE_PART = 0.25  # of the descriptors, at most, that this may be
-LEAST_SOCKETS = 32  # with fewer there is nothing left to serve with
-CLIENTS_PART = 0.6  # of the other descriptors: held requests need none at the backends' side
-FIRST_LIST_WITHIN = 1.0  # seconds to wait for discovery's own word before the remembered list must do
-STILL_COMING = 0.5  # seconds after SIGTERM in which clients still connect, by the protocol, and a little
-ALL_ANSWERED = 3.4  # seconds after SIGTERM by which all is answered: it may be killed 0.3 s later
-LAST_READ = 0.15  # seconds in which the last connections taken in bring what was already sent on them
-LAST_BYTES = 0.25  # seconds for clients to take what was written to them
 
-log = logging.getLogger("embersill")
+def read_arguments(arguments: list[str]) -> str:
+    """The operator file's path; empty where there is none, and the process is a gateway of the platform."""
+    parser = argparse.ArgumentParser(prog="embersill", description="A quota-keeping gateway.")
+    parser.add_argument("--operator", metavar="FILE", default=os.environ.get("EMBERSILL_OPERATOR", ""),
+                        help="operator file (TOML) that gives this process its role")
+    return str(parser.parse_args(arguments).operator)
 
 
-class BadConfiguration(Exception):
-    """The gateway can't start with what it was told."""
-
-
-@dataclass(frozen=True, slots=True)
-class Configuration:
-    name: str
-    listen: tuple[str, int]
-    discovery: tuple[str, int]
-    discovery_filed: tuple[str, int] | None  # the same by the file, whatever the environment said
-    counter: tuple[str, int] | None
-    seed: int
-    sockets: int
-    known: Listing
-    settings: Settings
-    limits: Limits
-
-
-def read_configuration(environ: dict[str, str]) -> Configuration:
-    """RELAY_CONFIG's file; the other variables hold parts of it and go before it where they are set."""
-    path = environ.get("RELAY_CONFIG")
-    if not path:
-        raise BadConfiguration("RELAY_CONFIG is not set")
-    try:
-        with open(path, encoding="utf-8") as file:
-            told = json.load(file)
-        return build_configuration(told, environ)
-    except OSError as error:
-        raise BadConfiguration(f"{path}: {error.strerror}") from error
-    except KeyError as error:
-        raise BadConfiguration(f"{path}: {error.args[0]} is missing") from error
-    except (ValueError, TypeError, AttributeError, BadList) as error:
-        raise BadConfiguration(f"{path}: {' '.join(str(error).split())}") from error
-
-
-def build_configuration(told: dict[str, Any], environ: dict[str, str]) -> Configuration:
-    settings = read_settings(told["settings"])
-    counter = read_address(told["counter"]) if settings.counter else None
-    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    sockets = min(int(told["limits"]["sockets"]), soft)
-    if sockets < LEAST_SOCKETS:
-        raise ValueError(f"limits: sockets is below {LEAST_SOCKETS}")
-    return Configuration(
-        name=str(environ.get("RELAY_NAME") or told["name"]),
-        listen=read_address(environ.get("RELAY_LISTEN") or told["listen"]),
-        discovery=read_address(environ.get("RELAY_DISCOVERY") or told["discovery"]),
-        discovery_filed=read_address(told["discovery"]) if "discovery" in told else None,
-        counter=counter,
-        seed=int(told["seed"], 16), sockets=sockets,
-        known=read_listing(told["known"], ListKind.REMEMBERED), settings=settings,
-        limits=read_limits(told["settings"]),
-    )
-
-
-def start_clock() -> Callable[[], float]:
-    """Unix time that never jumps: periods and backends' starts are told by it at every gateway alike."""
-    began = time.time() - time.monotonic()
-    monotonic = time.monotonic
-    return lambda: began + monotonic()
-
-
-class Program:
-    """The parts of one gateway, from start to stop."""
-
-    def __init__(self, told: Configuration) -> None:
-        clock = start_clock()
-        self.loop = asyncio.get_running_loop()
-        free = told.sockets - min(RESERVE, int(told.sockets * RESERVE_PART))
-        clients = int(free * CLIENTS_PART)
-        self.pool = Pool(clock, told.limits.dial_timeout, told.limits.keepalive, free - clients)
-        self.driver = Driver(Gateway(told.settings, told.seed, clock()), clock, self.pool)
-        if told.counter is not None:
-            self.driver.counter = Counter(
-                clock, told.counter, told.settings.counter_patience, told.limits.dial_timeout,
-                self.driver.counter_told)
-        self.driver.list_told(told.known)
-        self.discovery = Discovery(told.discovery, told.limits.dial_timeout, self.driver.list_told)
-        self.front = Front(self.driver, told.settings, clock, clients, self.serves)
-        self.listen = told.listen
-        self.filed = told.discovery_filed, told.counter
-        self.settled = False  # the list is discovery's own, or as good as can be had
-
-    def serves(self) -> bool:
-        return self.settled and bool(self.driver.serving)
-
-    async def run(self) -> None:
-        stop = asyncio.Event()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            self.loop.add_signal_handler(number, stop.set)
-        self.loop.add_signal_handler(signal.SIGHUP, self.reload)
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
-        await self.start()
-        gc.freeze()  # what start-up made stays: no need to look through it again
-        await stop.wait()
-        await self.stop()
-
-    async def start(self) -> None:
-        self.front.listen(self.listen)
-        self.discovery.start()
-        try:
-            async with asyncio.timeout(FIRST_LIST_WITHIN):
-                await self.discovery.heard.wait()
-        except TimeoutError:
-            pass
-        self.settled = True
-
-    def reload(self) -> None:
-        """Moves discovery and counter to where the file says now; without a usable file nothing changes."""
-        try:
-            fresh = read_configuration(dict(os.environ))
-        except BadConfiguration as error:
-            return log.warning("the configuration stays as it was: %s", error)
-        # an address in the environment holds until the file's own is changed: that is the later word
-        before, self.filed = self.filed, (fresh.discovery_filed, fresh.counter)
-        if fresh.discovery_filed is not None and fresh.discovery_filed != before[0]:
-            self.discovery.move(fresh.discovery_filed)
-        counter = self.driver.counter
-        if counter is not None and fresh.counter is not None and fresh.counter != before[1]:
-            counter.move(fresh.counter)
-        return None
-
-    async def stop(self, still_coming: float = STILL_COMING, all_answered: float = ALL_ANSWERED) -> None:
-        """Takes what still comes, answers all of it, and leaves nothing behind."""
-        self.front.stopping = True
-        await asyncio.sleep(still_coming)
-        self.front.stop_listening()
-        await asyncio.sleep(LAST_READ)
-        self.front.close_idle()
-        if not await self.driver.wait_answered(all_answered - still_coming - LAST_READ):
-            self.driver.rescue_all()
-        self.front.close_idle()
-        await self.front.wait_drained(LAST_BYTES)
-        self.front.close()
-        self.discovery.stop()
-        self.pool.close()
-        if self.driver.counter is not None:
-            self.driver.counter.close()
-
-
-async def serve(told: Configuration) -> None:
-    await Program(told).run()
+async def serve(told: Configuration, operator: str) -> None:
+    if not operator:
+        return await Program(told).run()
+    # imported here: without an operator file nothing of the two levels or their libraries is loaded
+    from embersill.tiers.roles import run_role
+    return await run_role(told, operator)
 
 
 def main() -> int:
     logging.basicConfig(format="%(name)s: %(message)s", level=logging.WARNING)
+    operator = read_arguments(sys.argv[1:])
     # left to itself it ends the process; one that comes early waits: the file may have been read by then
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     try:
-        told = read_configuration(dict(os.environ))
+        uvloop.run(serve(read_configuration(dict(os.environ)), operator))
     except BadConfiguration as error:
         print(f"embersill: {error}", file=sys.stderr)
         return 2
-    try:
-        uvloop.run(serve(told))
     except OSError as error:
         print(f"embersill: {error}", file=sys.stderr)
         return 1
--- a/embersill/control.py
+++ b/embersill/control.py
@@ -8,9 +8,9 @@
 from collections import deque
 
 from embersill.interface import (
-    Action, AttemptEnded, BackendList, Cancel, ClientLeft, Count, Counted, Event, Fail, ListKind,
-    Outcome, Plan, Refuse, Repeats, Request, RequestClass, Scope, Send, SetTimer, Settings, Status,
-    StreamBegun, Subscribe, TimerDue,
+    Action, Allotted, AttemptEnded, Backend, BackendList, Cancel, ClientLeft, Count, Counted, Event, Fail,
+    Inherited, ListKind, Outcome, Plan, Refuse, Repeats, Request, RequestClass, Scope, Send, SetTimer,
+    Settings, Status, StreamBegun, Subscribe, TimerDue,
 )
 from embersill.throttle import EPS, PERIOD, Throttle
 from embersill.work import LEAST_LIMIT, START_LIMIT, Attempt, Job, Server
@@ -96,6 +96,10 @@
             self.client_left(event.request)
         elif isinstance(event, StreamBegun) and event.request in self.jobs:
             self.jobs[event.request].streaming = True
+        elif isinstance(event, Allotted):
+            self.allotted(event)
+        elif isinstance(event, Inherited):
+            self.inherited(event)
         return self.actions
 
 
@@ -105,7 +109,7 @@
         klass, plan = self.classes.get(request.klass), self.plans.get(request.plan)
         if klass is None or plan is None or request.deadline <= self.now:
             return self.actions.append(Refuse(request.id, 0.0))
-        throttle = self.throttles.get(request.customer) or self.join(request, plan)
+        throttle = self.throttles.get(request.customer) or self.join(request.customer, request.width, plan)
         self.jobs[request.id] = job = Job(request, klass, throttle, self.now)
         units = request.units
         throttle.refill(self.now)
@@ -174,22 +178,62 @@
                     self.actions.append(SetTimer(max(wait, 1e-6), "r" + throttle.customer))
                 return
 
-    def join(self, request: Request, plan: Plan) -> Throttle:
+    def join(self, customer: str, width: int, plan: Plan) -> Throttle:
         """A throttle for a customer; two others are looked at, so that idle full ones go without a scan."""
         for _ in range(min(2, len(self.sweep))):
-            customer = self.sweep.popleft()
-            old = self.throttles[customer]
+            looked_at = self.sweep.popleft()
+            old = self.throttles[looked_at]
             if old.read_until < self.now and old.second < self.now // PERIOD and old.idle(self.now):
-                del self.throttles[customer]
+                del self.throttles[looked_at]
             else:
-                self.sweep.append(customer)
+                self.sweep.append(looked_at)
         most = self.settings.most_units if self.settings.counter else 0.0
-        width = max(1, request.width or self.settings.gateways)
-        throttle = Throttle(request.customer, plan, width, self.now, self.born, most)
-        self.throttles[request.customer] = throttle
-        self.sweep.append(request.customer)
+        width = max(1, width or self.settings.gateways)
+        throttle = Throttle(customer, plan, width, self.now, self.born, most)
+        self.throttles[customer] = throttle
+        self.sweep.append(customer)
         return throttle
 
+    def allotted(self, event: Allotted) -> None:
+        """Takes over the part of a customer's quota and ceiling that whoever deals them out gives it."""
+        plan = self.plans.get(event.plan)
+        if plan is not None:
+            throttle = self.throttles.get(event.customer) or self.join(event.customer, 1, plan)
+            throttle.allot(event, self.now)
+            self.release(throttle)
+
+    def inherited(self, event: Inherited) -> None:
+        """Goes on with a request that another instance began: nothing is charged, no attempt forgotten."""
+        request = event.request
+        klass, plan = self.classes.get(request.klass), self.plans.get(request.plan)
+        if request.id in self.jobs:
+            return None
+        if klass is None or plan is None:
+            return self.actions.append(Fail(request.id))  # an attempt may have run
+        throttle = self.throttles.get(request.customer) or self.join(request.customer, request.width, plan)
+        self.jobs[request.id] = job = Job(request, klass, throttle, self.now - event.age)
+        last = Outcome.NOT_SENT
+        for number, (address, age, outcome) in enumerate(event.attempts):
+            # one that is gone shares its repeats' memory with no backend that is known
+            unknown = Backend(address, "\0", "", -1, Status.GONE, 1.0, None)
+            server = self.servers.get(address) or Server(unknown, 1.0, self.now)
+            attempt = Attempt(server, self.now - age, self.usual_for(job))
+            job.attempts.append(attempt)
+            if outcome is None:
+                self.count_out(job, attempt)
+                late = max(LATE_AT * klass.aim - age, EPS)
+                self.actions.append(SetTimer(late, f"o{number} {request.id}"))
+            else:
+                attempt.out, attempt.unrun, last = False, outcome.never_ran, outcome
+        job.risky = next((a for a in job.attempts if not a.unrun), None)
+        return None if job.out else self.after_failure(job, last)
+
+    def count_out(self, job: Job, attempt: Attempt) -> None:
+        attempt.server.flight += 1
+        self.flight += 1
+        job.throttle.open += 1
+        job.out += 1
+
     def start_counting(self, throttle: Throttle) -> None:
         """One timer a second for a customer with new use, at a moment that all its gateways share."""
         if not self.settings.counter or throttle.counting or throttle.width < 2 or throttle.plan.rate <= 0:
@@ -438,10 +482,7 @@
             job.throttle.cap -= job.request.units if job.throttle.plan.ceiling_rate > 0 else 0.0
             self.retry_credit = min(self.retry_credit + RETRY_SHARE, RETRY_STORE)
         attempt = Attempt(server, self.now, self.usual_for(job))
-        server.flight += 1
-        self.flight += 1
-        job.throttle.open += 1
-        job.out += 1
+        self.count_out(job, attempt)
         job.attempts.append(attempt)
         job.risky = job.risky or attempt
         self.actions.append(Send(job.request.id, server.backend.address, self.useful_until(job) - self.now))
--- a/embersill/interface.py
+++ b/embersill/interface.py
@@ -182,7 +182,39 @@
     key: str
 
 
-Event = Request | BackendList | ClientLeft | StreamBegun | AttemptEnded | Counted | Probed | TimerDue
+@dataclass(frozen=True, slots=True)
+class Allotted:
+    """This instance's part of a customer's quota and ceiling from now on, where two levels deal them out.
+
+    `share` and `ceiling` are parts, 0 to 1, of the plan's rates and amounts. `cap` and `level` set what is
+    left now of the ceiling (below nought: in debt) and of the quota, in units; None leaves each as it is.
+    """
+
+    customer: str
+    plan: str
+    share: float
+    ceiling: float
+    cap: float | None = None
+    level: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Inherited:
+    """A request that another instance began, and all that became of its attempts: it is decided here now.
+
+    `age` is the time since it arrived. Each attempt has its backend, the time since it was sent, and its
+    outcome, None while it is out. Its units were taken when it was first sent on.
+    """
+
+    request: Request
+    age: float
+    attempts: tuple[tuple[str, float, Outcome | None], ...]
+
+
+Event = (
+    Request | BackendList | ClientLeft | StreamBegun | AttemptEnded | Counted | Probed | TimerDue | Allotted
+    | Inherited
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/embersill/net/backends.py
+++ b/embersill/net/backends.py
@@ -336,6 +336,11 @@
             for attempt in [a for a, towards in self.dialling.items() if towards is line]:
                 attempt.end(Answer(Outcome.NO_CONNECTION))
 
+    def call_back(self, backend: str) -> None:
+        """What is still dialling there is not written: somebody else was told that it drains."""
+        for attempt in [a for a in self.dialling if a.backend == backend]:
+            attempt.end(Answer(Outcome.NO_CONNECTION))
+
     def forget_others(self, known: Iterable[str]) -> None:
         """After a whole list: what it does not name is gone."""
         for backend in self.lines.keys() - set(known):
--- a/embersill/net/driver.py
+++ b/embersill/net/driver.py
@@ -9,14 +9,13 @@
 import asyncio
 import logging
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 from typing import Protocol
 
-from embersill.control import Gateway
 from embersill.interface import (
     Action, AttemptEnded, Backend, BackendList, Cancel, ClientLeft, Count, Counted, Event, Fail, Outcome,
-    Refuse, Request, Send, SetTimer, Status, TimerDue,
+    Refuse, Request, Send, SetTimer, Settings, Status, TimerDue,
 )
 from embersill.net.backends import Answer, Attempt, Pool
 from embersill.net.counter import Counter
@@ -71,10 +70,18 @@
         self.driver.attempt_ended(self, attempt, answer)
 
 
+class Decider(Protocol):
+    """What decides: the module itself, or a stand-in that asks one elsewhere and performs what it says."""
+
+    settings: Settings
+
+    def handle(self, event: Event, now: float) -> list[Action]: ...
+
+
 class Driver:
-    """Owns the one Gateway of this process."""
+    """Owns the one decider of this process."""
 
-    def __init__(self, gateway: Gateway, clock: Callable[[], float], pool: Pool) -> None:
+    def __init__(self, gateway: Decider, clock: Callable[[], float], pool: Pool) -> None:
         self.gateway, self.clock, self.pool = gateway, clock, pool
         self.most_units = gateway.settings.most_units
         self.counter: Counter | None = None
@@ -164,10 +171,18 @@
     def post(self, event: Event, due: float = 0.0) -> None:
         """Hands an event on; one that an action brings about waits until all actions are carried out."""
         self.events.append((event, due))
-        if self.handling:
-            return
+        if not self.handling:
+            self.work_off(())
+
+    def perform(self, actions: Iterable[Action]) -> None:
+        """Carries out decisions that were made elsewhere, and then what comes of them."""
+        self.work_off(actions)
+
+    def work_off(self, actions: Iterable[Action]) -> None:
         self.handling = True
         try:
+            for action in actions:
+                self.act(action)
             while self.events:
                 event, due = self.events.popleft()
                 self.handle(event, due)
--- /dev/null
+++ b/embersill/roles.py
@@ -0,0 +1,117 @@
+"""The parts of a process, put together by role, from start to stop."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import os
+import signal
+import time
+from collections.abc import Callable
+
+from embersill.configuration.platform import BadConfiguration, Configuration, read_configuration
+from embersill.control import Gateway
+from embersill.net.backends import Pool
+from embersill.net.clients import Front
+from embersill.net.counter import Counter
+from embersill.net.discovery import Discovery
+from embersill.net.driver import Decider, Driver
+
+RESERVE = 64  # descriptors kept for the listener, discovery, the counter, and what the run-time itself needs
+RESERVE_PART = 0.25  # of the descriptors, at most, that this may be
+CLIENTS_PART = 0.6  # of the other descriptors: held requests need none at the backends' side
+FIRST_LIST_WITHIN = 1.0  # seconds to wait for discovery's own word before the remembered list must do
+STILL_COMING = 0.5  # seconds after SIGTERM in which clients still connect, by the protocol, and a little
+ALL_ANSWERED = 3.4  # seconds after SIGTERM by which all is answered: it may be killed 0.3 s later
+LAST_READ = 0.15  # seconds in which the last connections taken in bring what was already sent on them
+LAST_BYTES = 0.25  # seconds for clients to take what was written to them
+
+log = logging.getLogger("embersill")
+
+
+def start_clock() -> Callable[[], float]:
+    """Unix time that never jumps: periods and backends' starts are told by it at every gateway alike."""
+    began = time.time() - time.monotonic()
+    monotonic = time.monotonic
+    return lambda: began + monotonic()
+
+
+class Program:
+    """The parts of one gateway, from start to stop."""
+
+    def __init__(self, told: Configuration, clock: Callable[[], float] | None = None,
+                 decider: Decider | None = None) -> None:
+        """With no `decider` the module decides here, and the platform's counter tells of other gateways."""
+        clock = clock or start_clock()
+        self.loop = asyncio.get_running_loop()
+        free = told.sockets - min(RESERVE, int(told.sockets * RESERVE_PART))
+        clients = int(free * CLIENTS_PART)
+        self.pool = Pool(clock, told.limits.dial_timeout, told.limits.keepalive, free - clients)
+        self.driver = Driver(decider or Gateway(told.settings, told.seed, clock()), clock, self.pool)
+        if told.counter is not None and decider is None:
+            self.driver.counter = Counter(
+                clock, told.counter, told.settings.counter_patience, told.limits.dial_timeout,
+                self.driver.counter_told)
+        self.driver.list_told(told.known)
+        self.discovery = Discovery(told.discovery, told.limits.dial_timeout, self.driver.list_told)
+        self.front = Front(self.driver, told.settings, clock, clients, self.serves)
+        self.listen = told.listen
+        self.filed = told.discovery_filed, told.counter
+        self.settled = False  # the list is discovery's own, or as good as can be had
+
+    def serves(self) -> bool:
+        return self.settled and bool(self.driver.serving)
+
+    async def run(self) -> None:
+        stop = asyncio.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(number, stop.set)
+        self.loop.add_signal_handler(signal.SIGHUP, self.reload)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+        await self.start()
+        gc.freeze()  # what start-up made stays: no need to look through it again
+        await stop.wait()
+        await self.stop()
+
+    async def start(self) -> None:
+        self.front.listen(self.listen)
+        self.discovery.start()
+        try:
+            async with asyncio.timeout(FIRST_LIST_WITHIN):
+                await self.discovery.heard.wait()
+        except TimeoutError:
+            pass
+        self.settled = True
+
+    def reload(self) -> None:
+        """Moves discovery and counter to where the file says now; without a usable file nothing changes."""
+        try:
+            fresh = read_configuration(dict(os.environ))
+        except BadConfiguration as error:
+            return log.warning("the configuration stays as it was: %s", error)
+        # an address in the environment holds until the file's own is changed: that is the later word
+        before, self.filed = self.filed, (fresh.discovery_filed, fresh.counter)
+        if fresh.discovery_filed is not None and fresh.discovery_filed != before[0]:
+            self.discovery.move(fresh.discovery_filed)
+        counter = self.driver.counter
+        if counter is not None and fresh.counter is not None and fresh.counter != before[1]:
+            counter.move(fresh.counter)
+        return None
+
+    async def stop(self, still_coming: float = STILL_COMING, all_answered: float = ALL_ANSWERED) -> None:
+        """Takes what still comes, answers all of it, and leaves nothing behind."""
+        self.front.stopping = True
+        await asyncio.sleep(still_coming)
+        self.front.stop_listening()
+        await asyncio.sleep(LAST_READ)
+        self.front.close_idle()
+        if not await self.driver.wait_answered(all_answered - still_coming - LAST_READ):
+            self.driver.rescue_all()
+        self.front.close_idle()
+        await self.front.wait_drained(LAST_BYTES)
+        self.front.close()
+        self.discovery.stop()
+        self.pool.close()
+        if self.driver.counter is not None:
+            self.driver.counter.close()
--- a/embersill/throttle.py
+++ b/embersill/throttle.py
@@ -4,11 +4,12 @@
 
 from collections import deque
 
-from embersill.interface import Plan
+from embersill.interface import Allotted, Plan
 from embersill.work import Job
 
 PERIOD = 1.0  # seconds a demand count covers; the design's own, and short against a client's patience
 EPS = 1e-9  # float slack where levels are compared
+LEAST_PART = 1e-6  # of a quota or ceiling, where none is allotted: what divides by a rate goes on
 
 
 class Throttle:
@@ -49,6 +50,15 @@
         self.rate, self.bank = self.plan.rate * share, self.plan.burst * share
         self.level = min(self.level, self.bank - self.held)
 
+    def allot(self, part: Allotted, now: float) -> None:
+        """Sets the parts of quota and ceiling, and what is left of each where that is told."""
+        self.set_share(max(part.share, LEAST_PART), now)
+        ceiling = max(part.ceiling, LEAST_PART)
+        self.cap_depth, self.cap_rate = self.plan.ceiling_depth * ceiling, self.plan.ceiling_rate * ceiling
+        self.cap = min(self.cap if part.cap is None else part.cap, self.cap_depth)
+        if part.level is not None:
+            self.level = min(part.level, self.bank) - self.held
+
     def wait(self, units: float) -> float:
         """Seconds until the head of the buffer, or a newcomer to an empty one, may leave."""
         wait = 0.0
--- /dev/null
+++ b/embersill/tiers/forwarder.py
@@ -0,0 +1,490 @@
+"""What a forwarder decides itself: whom it asks, whose word it obeys, and what it lends. No I/O.
+
+Everything about servers, retries and refusals comes from the decision module: at a planner, or, where none
+can be asked, in an instance of the module here that has this forwarder's share and no more.
+
+`Forwarder.handle` is what a gateway's driver calls in place of the module's; the links call the rest. Each
+call returns actions for the driver, and leaves messages for planners in `outbox`.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+
+from embersill.control import Gateway
+from embersill.interface import (
+    Action, Allotted, AttemptEnded, BackendList, Cancel, ClientLeft, Event, Fail, Inherited, Outcome, Refuse,
+    Request, Send, Settings, TimerDue,
+)
+from embersill.tiers.ledger import Ledger
+from embersill.tiers.messages import (
+    AnyMessage, Ask, Batch, Beat, Bequeath, Cancelled, Echo, Ended, Failed, Grant, Leaving, Left, Lend, Open,
+    Recall, Refused, Returned, Spent, Withdrawn,
+)
+from embersill.tiers.parts import part_of, ranking
+from embersill.tiers.terms import Terms
+
+REPORTED = 50  # customers in one Spent message: it fits any frame
+REMEMBERED = 60.0  # seconds after its end that a loan is kept: for so long a share may have filled since
+KEPT_ECHOES = 64  # of which the times are kept: far more than fit into a grant's freshness
+
+
+@dataclass(slots=True)
+class Link:
+    """What is known of one planner. Down: `up` is False, and nothing is sent to it."""
+
+    name: str
+    up: bool = False
+    leaving: bool = False
+    gathered: bool = False
+    silent: bool = False
+    incarnation: str = ""
+    heard: float = 0.0  # when it last said anything
+    echoes: dict[int, float] = field(default_factory=dict)  # beat: when it was echoed
+    last_echo: float = float("-inf")
+    acked: int = 0
+
+    @property
+    def fit(self) -> bool:
+        return self.up and not (self.leaving or self.silent)
+
+
+@dataclass(slots=True)
+class Part:
+    """One part of the customers, as this forwarder sees it."""
+
+    number: int
+    order: list[str]  # its planners, the first choice first
+    holder: Link | None = None
+    # incarnations of planners that held it: until when each may use this forwarder's share of its ceilings
+    loans: dict[str, float] = field(default_factory=dict)
+    recalled: int = 0  # token of a Recall that is out; nought if none is
+    recall_until: float = 0.0
+
+    def free_at(self, but_for: str | None = None) -> float:
+        """When no planner uses the share any more, but for the life of one that is named."""
+        return max((until for life, until in self.loans.items() if life != but_for), default=0.0)
+
+    def forget_ended(self, now: float) -> None:
+        self.loans = {life: until for life, until in self.loans.items() if until > now - REMEMBERED}
+
+
+@dataclass(slots=True, eq=False)
+class Task:
+    """A request that the driver owes an answer or whose attempts are out."""
+
+    request: Request
+    part: Part
+    arrived: float
+    ask: int = 0  # its name at the planner that decides it; nought: it is decided here, or waits
+    link: Link | None = None
+    local: bool = False
+    over: bool = False
+    # (backend, sent, outcome) by the driver's numbers
+    attempts: list[tuple[str, float, Outcome | None]] = field(default_factory=list)
+    theirs: list[int] = field(default_factory=list)  # the driver's number of each attempt of the planner's
+
+
+class Forwarder:
+    """One forwarder among `forwarders`, which ask `planners` about `parts` parts of the customers."""
+
+    def __init__(
+        self, settings: Settings, seed: int, now: float, *, forwarders: int, planners: Iterable[str],
+        parts: int, terms: Terms, most_customers: int = 20_000,
+    ) -> None:
+        self.settings, self.terms, self.share = settings, terms, 1.0 / forwarders
+        self.plans = {p.name: p for p in settings.plans}
+        # the module here decides alone, as one of the forwarders, with no counter to tell of the others
+        alone = replace(settings, gateways=forwarders, counter=False)
+        self.local = Gateway(alone, seed, now)
+        self.links = {name: Link(name) for name in planners}
+        self.parts = [
+            # what an earlier life of this process lent may still be in use
+            Part(n, ranking(n, self.links), loans={"": now + terms.bequest}) for n in range(parts)]
+        self.ledger = Ledger(settings.plans, most_customers, now)
+        self.tasks: dict[int, Task] = {}
+        self.asks: dict[int, Task] = {}
+        self.last_ask = self.last_token = 0
+        self.patience: list[tuple[float, int]] = []  # heap of (until, ask) not known to be taken
+        self.outbox: dict[str, list[AnyMessage]] = {name: [] for name in self.links}
+        self.actions: list[Action] = []
+        self.dead: list[str] = []  # planners whose links are to be closed: nothing is heard on them
+        self.withdrawn: list[str] = []  # backends that planners say drain, for the driver's pool
+        self.counts = {"asked": 0, "local": 0, "moved": 0, "stale": 0}
+        self.now = now
+        self.stopping = False
+
+    # the driver's side
+
+    def handle(self, event: Event, now: float) -> list[Action]:
+        self.now = max(self.now, now)
+        self.actions = []
+        if isinstance(event, Request):
+            self.arrive(event)
+        elif isinstance(event, AttemptEnded):
+            self.attempt_ended(event)
+        elif isinstance(event, ClientLeft):
+            self.client_left(event)
+        elif isinstance(event, BackendList | TimerDue):
+            self.tell_local(event)
+        return self.actions
+
+    def arrive(self, request: Request) -> None:
+        part = self.parts[part_of(request.customer, len(self.parts))]
+        task = Task(request, part, self.now)
+        self.tasks[request.id] = task
+        self.dispatch(task)
+
+    def dispatch(self, task: Task) -> None:
+        part = task.part
+        if part.holder is None:
+            self.decide_here(task)
+        elif not part.recalled:  # else it waits for the move, which `lend` or a tick ends
+            self.ask(task, part.holder)
+
+    def ask(self, task: Task, link: Link) -> None:
+        request = task.request
+        self.last_ask += 1
+        task.ask, task.link = self.last_ask, link
+        self.asks[task.ask] = task
+        task.theirs = list(range(len(task.attempts)))
+        left = request.deadline - self.now
+        if task.attempts:
+            attempts = [(backend, self.now - sent, outcome.value if outcome is not None else None)
+                        for backend, sent, outcome in task.attempts]
+            message: AnyMessage = Open(
+                task.ask, request.klass, request.plan, request.customer, left, request.units, request.repeat,
+                self.now - task.arrived, attempts)
+        else:
+            message = Ask(task.ask, request.klass, request.plan, request.customer, left, request.units,
+                          request.repeat)
+        self.outbox[link.name].append(message)
+        self.counts["asked"] += 1
+        budget = request.deadline - task.arrived
+        until = task.arrived + min(self.terms.patience_part * budget, self.terms.patience_most)
+        heapq.heappush(self.patience, (max(until, self.now + self.terms.patience_least), task.ask))
+
+    def attempt_ended(self, event: AttemptEnded) -> None:
+        task = self.tasks.get(event.request)
+        if task is None or event.attempt >= len(task.attempts):
+            return
+        backend, sent, _ = task.attempts[event.attempt]
+        task.attempts[event.attempt] = backend, sent, event.outcome
+        task.over = task.over or event.over
+        if task.local:
+            self.tell_local(event)
+        elif task.link is not None and event.attempt in task.theirs:
+            self.outbox[task.link.name].append(Ended(
+                task.ask, task.theirs.index(event.attempt), event.backend, event.outcome.value,
+                event.elapsed, event.over, event.true_units))
+        self.forget(task)
+
+    def client_left(self, event: ClientLeft) -> None:
+        task = self.tasks.get(event.request)
+        if task is None:
+            return
+        task.over = True
+        if task.local:
+            self.tell_local(event)
+        elif task.link is not None:
+            self.outbox[task.link.name].append(Left(task.ask))
+        self.forget(task)
+
+    def forget(self, task: Task) -> None:
+        """A request is over with its answer and the end of its last attempt."""
+        if task.over and all(outcome is not None for _, _, outcome in task.attempts):
+            self.tasks.pop(task.request.id, None)
+            self.asks.pop(task.ask, None)
+
+    # decisions made here
+
+    def decide_here(self, task: Task) -> None:
+        """Has the module here decide a request, with its attempts so far and this forwarder's share."""
+        self.release(task)
+        task.local = True
+        self.counts["local"] += 1
+        request = replace(task.request, width=1)
+        self.allot_here(request.customer, request.plan, task.part, request.deadline - self.now)
+        if task.attempts:
+            self.tell_local(Inherited(
+                request, self.now - task.arrived,
+                tuple((backend, self.now - sent, outcome) for backend, sent, outcome in task.attempts)))
+        else:
+            self.tell_local(request)
+
+    def allot_here(self, customer: str, plan_name: str, part: Part, left: float) -> None:
+        """This forwarder's share of a customer's quota, and of its ceiling once nobody else may use it."""
+        plan = self.plans.get(plan_name)
+        if plan is None:
+            return
+        cap: float | None = None
+        if plan.ceiling_rate > 0:
+            rate, known = plan.ceiling_rate * self.share, self.local.throttles.get(customer)
+            if part.holder is not None:
+                cap = -rate * max(self.terms.lease, left)  # it is lent: no credit in this request's life
+            elif part.free_at() > self.now:
+                cap = -rate * (part.free_at() - self.now)
+            elif known is None:
+                cap = rate * (self.now - part.free_at())
+            if cap is not None and known is not None:
+                known.refill(self.now)
+                cap = min(cap, known.cap)
+        self.tell_local(Allotted(customer, plan_name, self.share, self.share, cap))
+
+    def part_freed(self, part: Part) -> None:
+        """Nobody holds the part: what is decided here from now on has its share from `free_at` on."""
+        for customer, throttle in self.local.throttles.items():
+            if throttle.plan.ceiling_rate > 0 and part_of(customer, len(self.parts)) == part.number:
+                rate = throttle.plan.ceiling_rate * self.share
+                cap = -rate * max(part.free_at() - self.now, 0.0)
+                self.tell_local(Allotted(customer, throttle.plan.name, self.share, self.share, cap))
+
+    def part_lent(self, part: Part) -> None:
+        """The share is lent: nothing that waits here may leave on it any more."""
+        for customer, throttle in self.local.throttles.items():
+            if throttle.plan.ceiling_rate > 0 and part_of(customer, len(self.parts)) == part.number:
+                longest = max((c.deadline for c in self.settings.classes), default=0.0)
+                cap = -throttle.plan.ceiling_rate * self.share * (self.terms.lease + longest)
+                self.tell_local(Allotted(customer, throttle.plan.name, self.share, self.share, cap))
+
+    def tell_local(self, event: Event) -> None:
+        for action in self.local.handle(event, self.now):
+            if isinstance(action, Send):
+                task = self.tasks[action.request]
+                self.started(task, action.backend)
+            elif isinstance(action, Refuse | Fail):
+                task = self.tasks[action.request]
+                task.over = True
+                self.forget(task)
+            self.actions.append(action)
+
+    def started(self, task: Task, backend: str) -> None:
+        """An attempt goes out; a request's units count with its first one."""
+        if not task.attempts:
+            request = task.request
+            self.ledger.spent(request.customer, request.plan, request.units, self.now)
+        task.attempts.append((backend, self.now, None))
+
+    def release(self, task: Task) -> None:
+        """Takes a request back from the planner that decided it: nothing that this one still says counts."""
+        if task.link is not None and task.link.up:
+            self.outbox[task.link.name].append(Left(task.ask))
+        self.asks.pop(task.ask, None)
+        task.ask, task.link = 0, None
+
+    # the links' side
+
+    def link_up(self, planner: str, incarnation: str, now: float) -> list[Action]:
+        """A planner has let this forwarder in; `incarnation` names this life of its process."""
+        self.begin(now)
+        link = self.links[planner]
+        link.up, link.leaving, link.silent, link.gathered = True, False, False, False
+        link.incarnation, link.heard, link.acked = incarnation, self.now, 0
+        link.echoes.clear()
+        self.outbox[planner].clear()
+        self.review()
+        return self.actions
+
+    def link_down(self, planner: str, now: float) -> list[Action]:
+        """The link is broken: what was not heard over it will not be heard any more."""
+        self.begin(now)
+        link = self.links[planner]
+        if link.up:
+            link.up = False
+            self.outbox[planner].clear()
+            self.review()
+        return self.actions
+
+    def received(self, planner: str, batch: Batch, now: float) -> list[Action]:
+        """A batch from a planner whose link is up."""
+        self.begin(now)
+        link = self.links[planner]
+        if not link.up:
+            return self.actions
+        link.heard, link.acked = self.now, max(link.acked, batch.acked)
+        if link.silent:
+            link.silent = False
+            self.review()
+        for message in batch.messages:
+            if isinstance(message, Grant):
+                self.granted(link, message, batch.basis)
+            elif isinstance(message, Refused | Failed):
+                self.answered(link, message)
+            elif isinstance(message, Cancelled):
+                task = self.asks.get(message.ask)
+                if task is not None and task.link is link and message.attempt < len(task.theirs):
+                    place = task.theirs[message.attempt]
+                    if place >= 0:
+                        self.actions.append(Cancel(task.request.id, place))
+            elif isinstance(message, Beat):
+                self.echo(link, message)
+            elif isinstance(message, Returned):
+                self.returned(link, message.token)
+            elif isinstance(message, Withdrawn):
+                self.withdrawn.extend(message.backends)
+            elif isinstance(message, Leaving):
+                link.leaving = True
+                self.review()
+        return self.actions
+
+    def begin(self, now: float) -> None:
+        self.now = max(self.now, now)
+        self.actions = []
+
+    def echo(self, link: Link, beat: Beat) -> None:
+        self.outbox[link.name].append(Echo(beat.number))
+        link.echoes[beat.number] = link.last_echo = self.now
+        while len(link.echoes) > KEPT_ECHOES:
+            del link.echoes[next(iter(link.echoes))]
+        if beat.gathered and not link.gathered:
+            link.gathered = True
+            self.review()
+
+    def granted(self, link: Link, grant: Grant, basis: int) -> None:
+        task = self.asks.get(grant.ask)
+        if task is None or task.link is not link:
+            return  # it has been taken back, or is over: the planner hears or has heard of that
+        if grant.attempt != len(task.theirs):
+            return  # it has been executed or turned away already
+        echoed = link.echoes.get(basis)
+        if task.over or echoed is None or self.now - echoed > self.terms.fresh:
+            # a grant on its way for so long may rest on a share that was lent elsewhere since, or be for a
+            # backend that drains since
+            self.counts["stale"] += 1
+            task.theirs.append(-1)
+            self.outbox[link.name].append(Ended(
+                task.ask, grant.attempt, grant.backend, Outcome.NOT_SENT.value, 0.0, task.over, 0.0))
+            return
+        task.theirs.append(len(task.attempts))
+        self.started(task, grant.backend)
+        self.actions.append(Send(task.request.id, grant.backend, grant.timeout))
+
+    def answered(self, link: Link, message: Refused | Failed) -> None:
+        task = self.asks.get(message.ask)
+        if task is None or task.link is not link or task.over:
+            return
+        task.over = True
+        number = task.request.id
+        if isinstance(message, Refused):
+            self.actions.append(Refuse(number, message.retry_after))
+        else:
+            self.actions.append(Fail(number))
+        self.forget(task)
+
+    # whom each part is lent to
+
+    def review(self) -> None:
+        """Moves parts whose planner is gone, or whose first choice is back."""
+        lent: dict[str, list[Part]] = {}
+        for part in self.parts:
+            best = next((self.links[name] for name in part.order if self.links[name].fit), None)
+            holder = part.holder
+            if holder is not None and not (holder.up and not holder.silent):
+                self.detach(part)
+            elif holder is not None and best is not None and best is not holder:
+                if best.gathered or holder.leaving:
+                    self.recall(part, holder)
+                continue
+            if part.holder is None and best is not None and not self.stopping:
+                lent.setdefault(best.name, []).append(part)
+        for name, parts in lent.items():
+            self.lend(self.links[name], parts)
+
+    def detach(self, part: Part) -> None:
+        """The holder is gone or silent; it may use this forwarder's share until the loan's end."""
+        link = part.holder
+        assert link is not None
+        part.holder, part.recalled = None, 0
+        until = link.last_echo + self.terms.lease
+        part.loans[link.incarnation] = max(part.loans.get(link.incarnation, until), until)
+        part.forget_ended(self.now)
+        if link.up:
+            # it may only have paused: no echo that it still gets may lend it this part again
+            self.outbox[link.name].append(Recall([part.number], 0))
+        self.part_freed(part)
+
+    def recall(self, part: Part, holder: Link) -> None:
+        if not part.recalled:
+            self.last_token += 1
+            part.recalled, part.recall_until = self.last_token, self.now + self.terms.recall
+            self.outbox[holder.name].append(Recall([part.number], part.recalled))
+
+    def returned(self, link: Link, token: int) -> None:
+        for part in self.parts:
+            if part.recalled == token and part.holder is link:
+                part.holder, part.recalled = None, 0
+                part.loans[""] = max(part.loans.get("", 0.0), self.now)
+                part.loans.pop(link.incarnation, None)
+                self.review()
+                return
+
+    def lend(self, link: Link, parts: list[Part]) -> None:
+        """Lends parts that nobody holds, with all that a new holder needs to know of them."""
+        numbers = {part.number for part in parts}
+        out = self.outbox[link.name]
+        count = len(self.parts)
+        report = self.ledger.report(lambda customer: part_of(customer, count) in numbers, self.now)
+        for start in range(0, len(report), REPORTED):
+            out.append(Spent(report[start:start + REPORTED]))
+        remembers = self.now - self.ledger.since
+        groups: dict[float, list[int]] = {}
+        for part in parts:
+            # what this life of the planner still has of an earlier loan is its own anyway
+            free_in = max(part.free_at(link.incarnation) - self.now, 0.0)
+            groups.setdefault(free_in, []).append(part.number)
+            part.holder = link
+        for free_in, members in groups.items():
+            out.append(Lend(members, remembers, free_in))
+        self.counts["moved"] += len(parts)
+        for task in list(self.tasks.values()):
+            if task.part.number in numbers and not (task.local or task.over):
+                # one that waits for the move has none to be taken back from
+                self.asks.pop(task.ask, None)
+                self.ask(task, link)
+            elif task.part.number in numbers and task.over and not task.local:
+                self.asks.pop(task.ask, None)  # answered: what is still out is no new holder's concern
+                task.link = None
+        for part in parts:
+            self.part_lent(part)
+
+    # time
+
+    def tick(self, now: float) -> list[Action]:
+        """To be called every few hundredths of a second: nothing waits for a planner without bound."""
+        self.begin(now)
+        changed = False
+        for link in self.links.values():
+            if link.up and not link.silent and self.now - link.heard > self.terms.silent_after:
+                link.silent = changed = True
+            if link.up and self.now - link.heard > self.terms.dead_after:
+                self.dead.append(link.name)
+        for part in self.parts:
+            if part.recalled and self.now >= part.recall_until:
+                self.detach(part)
+                changed = True
+        if changed:
+            self.review()
+        self.settle_unheld()
+        while self.patience and self.patience[0][0] <= self.now:
+            _, ask = heapq.heappop(self.patience)
+            task = self.asks.get(ask)
+            if task is not None and task.link is not None and not task.over and ask > task.link.acked:
+                self.decide_here(task)
+        return self.actions
+
+    def settle_unheld(self) -> None:
+        """Requests of parts that nobody holds any more, and that no planner could take, are decided here."""
+        if all(part.holder is not None for part in self.parts):
+            return
+        for task in list(self.tasks.values()):
+            if not (task.local or task.over) and task.part.holder is None:
+                self.decide_here(task)
+
+    def stop(self, now: float) -> None:
+        """After the last request: what is lent is left to its holders for the time of a bequest."""
+        self.begin(now)
+        self.stopping = True
+        for name in {part.holder.name for part in self.parts if part.holder is not None}:
+            self.outbox[name].append(Bequeath())
--- /dev/null
+++ b/embersill/tiers/ledger.py
@@ -0,0 +1,94 @@
+"""What was sent on lately for each customer, and how much of a ceiling that surely leaves.
+
+A token bucket with depth d and rate r forgets: whatever was passed longer ago than d / r no longer shows
+in it once it had that time to fill. So the spends of the last few of these spans, replayed from an empty
+bucket, give a level that the true one is never below, and that equals it wherever the bucket was full once
+within them. No level is ever carried over the wire, hence none can be carried twice.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Iterable
+
+from embersill.interface import Plan
+
+SPANS = 2.0  # times the span in which a bucket fills that spends are kept
+LONGEST = 60.0  # seconds they are kept at most
+MOST_SPENDS = 64  # of one customer: older ones are taken together, as if spent at the later time
+
+
+def horizon_of(plan: Plan) -> float:
+    """Seconds of spends from which a replay tells what is left of a plan's quota and ceiling."""
+    spans = [0.0]
+    if plan.rate > 0:
+        spans.append(plan.burst / plan.rate)
+    if plan.ceiling_rate > 0:
+        spans.append(plan.ceiling_depth / plan.ceiling_rate)
+    return min(SPANS * max(spans), LONGEST)
+
+
+def replay(depth: float, rate: float, span: float, level: float, spends: Iterable[tuple[float, float]]
+           ) -> float:
+    """The level now of a bucket that had `level` units `span` seconds ago, after spends of age and units.
+
+    It never counts below nought after a spend: each was let through by a bucket that held its units.
+    """
+    at = span
+    for age, units in sorted(spends, reverse=True):
+        if age <= span:
+            level = max(min(depth, level + rate * (at - age)) - units, 0.0)
+            at = age
+    return min(depth, level + rate * at)
+
+
+class Ledger:
+    """The spends of one forwarder, or those that one planner granted. Bounded in customers and in spends."""
+
+    def __init__(self, plans: Iterable[Plan], most_customers: int, now: float) -> None:
+        self.horizons = {p.name: horizon_of(p) for p in plans if p.rate > 0 or p.ceiling_rate > 0}
+        self.most_customers = most_customers
+        self.since = now  # all that was spent from then on is known
+        self.spends: dict[str, tuple[str, deque[tuple[float, float]]]] = {}
+
+    def spent(self, customer: str, plan: str, units: float, now: float) -> None:
+        if plan not in self.horizons:
+            return
+        known = self.spends.pop(customer, None)  # the customer used last stands last
+        if known is None:
+            known = plan, deque()
+            self.make_room(now)
+        self.spends[customer] = known
+        spends = known[1]
+        spends.append((now, units))
+        while spends[0][0] < now - self.horizons[plan]:
+            spends.popleft()
+        if len(spends) > MOST_SPENDS:
+            (_, first), (later, second) = spends.popleft(), spends.popleft()
+            spends.appendleft((later, first + second))
+
+    def make_room(self, now: float) -> None:
+        """Drops customers whose spends no longer matter; at the bound others too, and notes since when."""
+        while self.spends:
+            customer = next(iter(self.spends))
+            plan, spends = self.spends[customer]
+            last = spends[-1][0]
+            if last >= now - self.horizons[plan]:
+                if len(self.spends) < self.most_customers:
+                    return
+                self.since = max(self.since, last)
+            del self.spends[customer]
+
+    def of(self, customer: str, now: float) -> list[tuple[float, float]]:
+        """The spends of a customer, as pairs of age and units."""
+        known = self.spends.get(customer)
+        return [] if known is None else [(max(now - at, 0.0), units) for at, units in known[1]]
+
+    def report(self, wanted: Callable[[str], bool], now: float
+               ) -> list[tuple[str, str, list[tuple[float, float]]]]:
+        """Customer, plan and spends of all that are wanted and still matter."""
+        return [
+            (customer, plan, self.of(customer, now))
+            for customer, (plan, spends) in self.spends.items()
+            if spends[-1][0] >= now - self.horizons[plan] and wanted(customer)
+        ]
--- /dev/null
+++ b/embersill/tiers/messages.py
@@ -0,0 +1,182 @@
+"""What forwarders and planners say to each other: msgspec structs, packed as MessagePack arrays.
+
+All times are durations in seconds, as of when the message was written: no clock is ever compared with
+another machine's. A batch is one frame; `read_batch` refuses what is not in this form.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+VERSION = 1  # of all that stands here; both ends must speak the same
+MOST_TEXT = 256  # characters of a name
+
+
+class Message(msgspec.Struct, array_like=True, frozen=True, tag=True, gc=False):
+    """Base of all messages: a tagged array."""
+
+
+class Beat(Message, frozen=True, tag=1):
+    """Planner to forwarder, several times a lease: asks it to lend its share for one more."""
+
+    number: int
+    gathered: bool  # all forwarders are linked, or will not be soon: parts may move here
+
+
+class Echo(Message, frozen=True, tag=2):
+    """Forwarder to planner: all parts that it has lent there are lent for one more lease from that beat."""
+
+    number: int
+
+
+class Spent(Message, frozen=True, tag=3):
+    """Forwarder to planner, ahead of Lend: what it sent on for customers, as pairs of age and units."""
+
+    customers: list[tuple[str, str, list[tuple[float, float]]]]  # customer, plan, spends
+
+
+class Lend(Message, frozen=True, tag=4):
+    """Forwarder to planner: it obeys it for these parts, and lends its share of their customers' ceilings.
+
+    `remembers`: for how long back the Spent messages before it are complete. `free_in`: until when the
+    share may still be used by a planner that had it before.
+    """
+
+    parts: list[int]
+    remembers: float
+    free_in: float
+
+
+class Recall(Message, frozen=True, tag=5):
+    """Forwarder to planner: it obeys it no longer for these parts. `token` comes back in Returned."""
+
+    parts: list[int]
+    token: int
+
+
+class Returned(Message, frozen=True, tag=6):
+    """Planner to forwarder: nothing more of these parts is used here."""
+
+    token: int
+
+
+class Ask(Message, frozen=True, tag=7):
+    """Forwarder to planner: a client's request. `ask` names it on this link and is never used again."""
+
+    ask: int
+    klass: str
+    plan: str
+    customer: str
+    left: float  # until the client's end
+    units: float
+    repeat: bool
+
+
+class Open(Message, frozen=True, tag=8):
+    """Forwarder to planner: a request that another decided so far; attempts as backend, age, outcome."""
+
+    ask: int
+    klass: str
+    plan: str
+    customer: str
+    left: float
+    units: float
+    repeat: bool
+    age: float
+    attempts: list[tuple[str, float, str | None]]
+
+
+class Ended(Message, frozen=True, tag=9):
+    """Forwarder to planner: an attempt came to its end."""
+
+    ask: int
+    attempt: int
+    backend: str
+    outcome: str
+    elapsed: float
+    over: bool
+    units: float
+
+
+class Left(Message, frozen=True, tag=10):
+    """Forwarder to planner: the request is no longer the planner's: its client left, or it took too long."""
+
+    ask: int
+
+
+class Grant(Message, frozen=True, tag=11):
+    """Planner to forwarder: start an attempt; the planner numbers a request's attempts from 0."""
+
+    ask: int
+    attempt: int
+    backend: str
+    timeout: float
+
+
+class Refused(Message, frozen=True, tag=12):
+    """Planner to forwarder: final answer, trying again is harmless."""
+
+    ask: int
+    retry_after: float
+
+
+class Failed(Message, frozen=True, tag=13):
+    """Planner to forwarder: final answer, with no promise."""
+
+    ask: int
+
+
+class Cancelled(Message, frozen=True, tag=14):
+    """Planner to forwarder: give an attempt up."""
+
+    ask: int
+    attempt: int
+
+
+class Withdrawn(Message, frozen=True, tag=15):
+    """Planner to forwarder: these backends drain or are gone; nothing new goes to them."""
+
+    backends: list[str]
+
+
+class Leaving(Message, frozen=True, tag=16):
+    """Planner to forwarder: it stops soon; its parts are to be lent elsewhere."""
+
+
+class Bequeath(Message, frozen=True, tag=17):
+    """Forwarder to planner: it stops with nothing open; what it lent may be spent until the bequest's end."""
+
+
+AnyMessage = (
+    Beat | Echo | Spent | Lend | Recall | Returned | Bequeath | Ask | Open | Ended | Left | Grant | Refused
+    | Failed | Cancelled | Withdrawn | Leaving
+)
+
+
+class Batch(msgspec.Struct, array_like=True, frozen=True, gc=False):
+    """One frame: its number on the link, from 1, and what the sender has of the other's.
+
+    `basis`: from a planner, the last beat that it has this forwarder's echo of. `acked`: from a planner,
+    the last ask that it has taken. Both nought from a forwarder.
+    """
+
+    number: int
+    basis: int
+    acked: int
+    messages: list[AnyMessage]
+
+
+encoder = msgspec.msgpack.Encoder()
+decoder: msgspec.msgpack.Decoder[Batch] = msgspec.msgpack.Decoder(Batch)
+
+
+class BadFrame(Exception):
+    """A frame that is not in the form, out of its turn, or over the bound."""
+
+
+def read_batch(frame: bytes) -> Batch:
+    """BadFrame says what is wrong with one that is not a batch."""
+    try:
+        return decoder.decode(frame)
+    except (msgspec.DecodeError, msgspec.ValidationError, RecursionError) as error:
+        raise BadFrame(f"not a batch: {error}") from error
--- /dev/null
+++ b/embersill/tiers/planner.py
@@ -0,0 +1,506 @@
+"""What a planner decides itself: whose ceilings it may spend, and how much of them. No I/O.
+
+Requests are decided by the unchanged module, one instance for the whole planner, on the events of its
+forwarders. A customer's requests all come here while its part is lent here, so the whole quota is one
+throttle, of width one, and no counter is needed. `Allotted` tells the module how much of quota and ceiling
+that is: each forwarder that lends its share adds one part in `forwarders`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+
+from embersill.control import Gateway
+from embersill.interface import (
+    Action, Allotted, AttemptEnded, BackendList, Cancel, ClientLeft, Event, Fail, Inherited, Outcome, Plan,
+    Refuse, Request, Send, SetTimer, Settings, Status, TimerDue,
+)
+from embersill.tiers.ledger import Ledger, horizon_of, replay
+from embersill.tiers.messages import (
+    AnyMessage, Ask, BadFrame, Batch, Beat, Bequeath, Cancelled, Echo, Ended, Failed, Grant, Leaving, Left,
+    Lend, Open, Recall, Refused, Returned, Spent, Withdrawn,
+)
+from embersill.tiers.parts import part_of
+from embersill.tiers.terms import DRIFT, Terms
+
+OUTCOMES = {outcome.value: outcome for outcome in Outcome}
+KEPT_BEATS = 64  # of which the times are kept
+SWEEP_EVERY = 1.0  # seconds between looks for requests that should be over
+OVERDUE = 5.0  # seconds past its client's end from which a request is taken to be forgotten
+
+
+@dataclass(slots=True, eq=False)
+class Session:
+    """A forwarder's link, from when it was let in until it breaks."""
+
+    name: str
+    heard: float
+    beats: dict[int, float] = field(default_factory=dict)  # beat: when it went out
+    last_beat: int = 0
+    echoed: int = 0
+    loan_until: float = float("-inf")  # until when what it lent may be spent
+    acked: int = 0  # the last ask that was taken, and of which the forwarder knows
+    acked_told: int = 0
+    asks: dict[int, int] = field(default_factory=dict)  # ask: the module's number
+    spends: dict[str, list[tuple[float, float]]] = field(default_factory=dict)  # told ahead of a Lend
+    outbox: list[AnyMessage] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Lender:
+    session: Session
+    free_at: float  # from when on its share may be spent here
+    known_since: float  # from when on its spends were reported, by this clock
+    bequest_until: float = float("-inf")  # until when it may be spent though the forwarder has stopped
+
+    @property
+    def until(self) -> float:
+        return max(self.session.loan_until, self.bequest_until)
+
+
+@dataclass(slots=True)
+class Part:
+    number: int
+    lenders: dict[str, Lender] = field(default_factory=dict)  # by forwarder
+    customers: dict[str, str] = field(default_factory=dict)  # that this life has met, and their plans
+    spends: dict[str, list[tuple[float, float]]] = field(default_factory=dict)  # reported: (when, units)
+    taken_at: float = 0.0
+    whole: bool = False  # all forwarders have lent it since it was taken: all that was spent is known
+    ceiling: float = 0.0  # as told to the module
+    share: float = 0.0
+    waiting: list[tuple[Session, Ask]] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Job:
+    session: Session
+    ask: int
+    part: Part
+    request: Request
+    sent: int = 0  # attempts granted, or inherited
+
+
+class Planner:
+    """One planner for `forwarders`, by name; others may not link."""
+
+    def __init__(
+        self, settings: Settings, seed: int, now: float, *, forwarders: Iterable[str], planners: int,
+        parts: int, terms: Terms, most_customers: int = 100_000, most_open: int = 50_000,
+    ) -> None:
+        self.settings, self.terms = settings, terms
+        self.forwarders = frozenset(forwarders)
+        # towards the backends the planners are what several gateways were: each takes part of the load
+        self.gateway = Gateway(replace(settings, gateways=planners, counter=False), seed, now)
+        self.plans = {p.name: p for p in settings.plans}
+        self.parts = [Part(n) for n in range(parts)]
+        self.sessions: dict[str, Session] = {}
+        self.jobs: dict[int, Job] = {}
+        self.last_job = 0
+        self.ledger = Ledger(settings.plans, most_customers, now)
+        self.most_open = most_open
+        self.timers: list[tuple[float, str]] = []  # (delay, key) for whoever keeps the time
+        self.dead: list[Session] = []  # links to be closed: nothing is heard on them
+        self.born = self.now = self.swept_at = now
+        self.gathered = False
+        self.review_at = now
+        self.leaving = False
+        self.counts = {"asks": 0, "opens": 0, "grants": 0, "refused": 0, "failed": 0, "taken": 0}
+
+    # links
+
+    def link_up(self, forwarder: str, now: float) -> Session:
+        """Lets a forwarder in; a session that it had before is over."""
+        self.advance(now)
+        if forwarder in self.sessions:
+            self.link_down(self.sessions[forwarder], now)
+        session = self.sessions[forwarder] = Session(forwarder, self.now)
+        if self.sessions.keys() >= self.forwarders:
+            self.gathered = True
+        self.beat(session)
+        if self.leaving:
+            session.outbox.append(Leaving())
+        return session
+
+    def link_down(self, session: Session, now: float) -> None:
+        """What the forwarder lent is its own again; its requests are decided elsewhere."""
+        self.advance(now)
+        if self.sessions.get(session.name) is not session:
+            return
+        del self.sessions[session.name]
+        for number in list(session.asks.values()):
+            self.drop(number)
+        for part in self.parts:
+            lender = part.lenders.get(session.name)
+            if lender is None or lender.bequest_until <= self.now:
+                self.unlend(part, session)
+        session.outbox.clear()
+
+    def received(self, session: Session, batch: Batch, now: float) -> None:
+        """A forwarder's batch; BadFrame for what it has no right to say, after which the link is closed."""
+        self.advance(now)
+        if self.sessions.get(session.name) is not session:
+            return
+        session.heard = self.now
+        for message in batch.messages:
+            if isinstance(message, Ask):
+                self.asked(session, message)
+            elif isinstance(message, Ended):
+                self.ended(session, message)
+            elif isinstance(message, Echo):
+                self.echoed(session, message.number)
+            elif isinstance(message, Left):
+                self.left(session, message.ask)
+            elif isinstance(message, Spent):
+                self.spent(session, message)
+            elif isinstance(message, Lend):
+                self.lend(session, message)
+            elif isinstance(message, Open):
+                self.opened(session, message)
+            elif isinstance(message, Recall):
+                self.recall(session, message)
+            elif isinstance(message, Bequeath):
+                self.bequeath(session)
+            else:
+                raise BadFrame(f"a forwarder does not say {type(message).__name__}")
+
+    # requests
+
+    def part_for(self, session: Session, customer: str) -> Part:
+        part = self.parts[part_of(customer, len(self.parts))]
+        if session.name not in part.lenders:
+            raise BadFrame("a request of a part that is not lent")
+        return part
+
+    def asked(self, session: Session, ask: Ask) -> None:
+        session.acked = max(session.acked, ask.ask)
+        part = self.part_for(session, ask.customer)
+        self.counts["asks"] += 1
+        plan = self.plans.get(ask.plan)
+        gathering = not part.whole and self.now < part.taken_at + self.terms.gather
+        if gathering and plan is not None and plan.ceiling_rate > 0 and len(part.waiting) < self.most_open:
+            # the ceiling is empty until all forwarders have told what they passed on: a moment's patience
+            part.waiting.append((session, ask))
+        else:
+            self.decide(session, ask, part, self.now)
+
+    def decide(self, session: Session, ask: Ask, part: Part, came: float) -> None:
+        left = ask.left - (self.now - came)
+        if len(self.jobs) >= self.most_open:
+            longest = self.settings.max_retry_after if self.settings.retry_after else 0.0
+            session.outbox.append(Refused(ask.ask, min(1.0, longest)))
+            return
+        job = self.job(session, ask, part, left)
+        self.allot_new(part, ask.customer, ask.plan)
+        self.tell(job.request)
+
+    def job(self, session: Session, ask: Ask | Open, part: Part, left: float) -> Job:
+        self.last_job += 1
+        request = Request(self.last_job, ask.klass, ask.plan, ask.customer, self.now + left, ask.units, 1, 0,
+                          ask.repeat)
+        job = self.jobs[self.last_job] = Job(session, ask.ask, part, request)
+        session.asks[ask.ask] = self.last_job
+        return job
+
+    def opened(self, session: Session, ask: Open) -> None:
+        session.acked = max(session.acked, ask.ask)
+        part = self.part_for(session, ask.customer)
+        self.counts["opens"] += 1
+        job = self.job(session, ask, part, ask.left)
+        job.sent = len(ask.attempts)
+        self.allot_new(part, ask.customer, ask.plan)
+        try:
+            attempts = tuple((backend, age, OUTCOMES[outcome] if outcome is not None else None)
+                             for backend, age, outcome in ask.attempts)
+        except KeyError as error:
+            raise BadFrame(f"no outcome: {error}") from error
+        self.tell(Inherited(job.request, ask.age, attempts))
+        self.forget(job.request.id)
+
+    def left(self, session: Session, ask: int) -> None:
+        number = session.asks.get(ask)
+        if number is not None:
+            return self.drop(number)
+        for part in self.parts:
+            if part.waiting:
+                part.waiting = [(s, w) for s, w in part.waiting if s is not session or w.ask != ask]
+        return None
+
+    def ended(self, session: Session, ended: Ended) -> None:
+        number = session.asks.get(ended.ask)
+        if number is None:
+            return  # its end crossed what was said of it here
+        outcome = OUTCOMES.get(ended.outcome)
+        if outcome is None:
+            raise BadFrame(f"no outcome: {ended.outcome!r}")
+        units = ended.units if 0.0 <= ended.units <= self.settings.most_units else 0.0
+        self.tell(AttemptEnded(
+            number, ended.attempt, ended.backend, outcome, ended.elapsed, ended.over, units, ()))
+        self.forget(number)
+
+    def drop(self, number: int) -> None:
+        """The request is no longer decided here: nothing is said of it any more, and nothing expected."""
+        job = self.jobs.pop(number, None)
+        if job is None:
+            return
+        job.session.asks.pop(job.ask, None)
+        self.tell(ClientLeft(number))
+        known = self.gateway.jobs.get(number)
+        for place, attempt in enumerate(known.attempts if known is not None else ()):
+            if attempt.out:  # what becomes of it is not heard here: it teaches nothing and fills no limit
+                self.tell(AttemptEnded(
+                    number, place, attempt.server.backend.address, Outcome.CANCELLED, 0.0, True, 0.0, ()))
+
+    def forget(self, number: int) -> None:
+        job = self.jobs.get(number)
+        if job is not None and number not in self.gateway.jobs:
+            del self.jobs[number]
+            job.session.asks.pop(job.ask, None)
+
+    def tell(self, event: Event) -> None:
+        for action in self.gateway.handle(event, self.now):
+            self.act(action)
+
+    def act(self, action: Action) -> None:
+        if isinstance(action, SetTimer):
+            self.timers.append((action.delay, action.key))
+            return
+        if not isinstance(action, Send | Refuse | Fail | Cancel):
+            return
+        job = self.jobs.get(action.request)
+        if job is None:
+            return
+        out = job.session.outbox
+        if isinstance(action, Send):
+            if job.sent == 0:
+                request = job.request
+                self.ledger.spent(request.customer, request.plan, request.units, self.now)
+            out.append(Grant(job.ask, job.sent, action.backend, action.timeout))
+            job.sent += 1
+            self.counts["grants"] += 1
+        elif isinstance(action, Cancel):
+            out.append(Cancelled(job.ask, action.attempt))
+        else:
+            if isinstance(action, Refuse):
+                out.append(Refused(job.ask, action.retry_after))
+                self.counts["refused"] += 1
+            else:
+                out.append(Failed(job.ask))
+                self.counts["failed"] += 1
+            self.forget(action.request)
+
+    def timer_due(self, key: str, now: float) -> None:
+        """One of `timers` is due. `now` is no earlier than that."""
+        self.advance(now)
+        self.tell(TimerDue(key))
+
+    def list_told(self, event: BackendList, now: float) -> None:
+        """Discovery's word; drains are passed on, so that no grant under way brings anything to them."""
+        self.advance(now)
+        self.tell(event)
+        gone = [b.address for b in event.backends if b.status is not Status.SERVING]
+        if gone:
+            for session in self.sessions.values():
+                session.outbox.append(Withdrawn(gone))
+
+    # what is lent here
+
+    def spent(self, session: Session, message: Spent) -> None:
+        for customer, _, spends in message.customers:
+            session.spends[customer] = [(self.now - age, units) for age, units in spends]
+
+    def lend(self, session: Session, message: Lend) -> None:
+        if not all(0 <= number < len(self.parts) for number in message.parts):
+            raise BadFrame("a part that there is not")
+        spends, wanted = session.spends, set(message.parts)
+        for customer in [c for c in spends if part_of(c, len(self.parts)) in wanted]:
+            part = self.parts[part_of(customer, len(self.parts))]
+            part.spends.setdefault(customer, []).extend(spends.pop(customer))
+        for number in message.parts:
+            part = self.parts[number]
+            if not part.lenders:
+                self.take(part)
+            part.lenders[session.name] = Lender(
+                session, self.now + max(message.free_in, 0.0), self.now - message.remembers)
+            if part.lenders.keys() >= self.forwarders:
+                for lender in part.lenders.values():
+                    lender.free_at = min(lender.free_at, self.now)  # nobody else can have anything executed
+                if not part.whole:
+                    self.make_whole(part)
+        self.review_at = self.now
+        self.advance(self.now)
+        for number in message.parts:
+            if self.parts[number].whole:
+                self.flush(self.parts[number])
+
+    def take(self, part: Part) -> None:
+        """Begins a part's term here: nothing is known of its ceilings yet, so they are empty."""
+        part.taken_at, part.whole, part.ceiling, part.share = self.now, False, 0.0, 0.0
+        self.counts["taken"] += 1
+        for customer, plan in part.customers.items():
+            if customer in self.gateway.throttles:
+                self.tell(Allotted(customer, plan, 0.0, 0.0, 0.0))
+
+    def make_whole(self, part: Part) -> None:
+        """All forwarders obey this planner for the part: all that anyone passed on is in their reports."""
+        part.whole = True
+        self.review(part)
+        for customer in {*part.customers, *part.spends}:
+            plan = self.plans.get(part.customers.get(customer, ""))
+            if plan is not None and customer in self.gateway.throttles:
+                cap, level = self.left_of(part, customer, plan)
+                self.tell(Allotted(customer, plan.name, part.share, part.ceiling, cap, level))
+
+    def known_span(self, part: Part) -> float:
+        """Seconds back to which all forwarders' spends are known."""
+        return self.now - max((lender.known_since for lender in part.lenders.values()), default=self.now)
+
+    def left_of(self, part: Part, customer: str, plan: Plan) -> tuple[float, float]:
+        """What is surely left of a customer's ceiling, and about what of its quota; the part is whole."""
+        spends = [(self.now - at, units) for at, units in part.spends.get(customer, ())]
+        spends += self.ledger.of(customer, self.now)
+        horizon = horizon_of(plan)
+        span = min(horizon, max(self.known_span(part), 0.0))
+        cap = replay(plan.ceiling_depth, plan.ceiling_rate, span, 0.0, spends)
+        level = replay(plan.burst, plan.rate, horizon, plan.burst, spends)
+        return cap, level
+
+    def allot_new(self, part: Part, customer: str, plan_name: str) -> None:
+        """A customer's first request here, or its first since its throttle was full and idle."""
+        part.customers[customer] = plan_name
+        plan = self.plans.get(plan_name)
+        if plan is None or customer in self.gateway.throttles:
+            return
+        if part.whole:
+            cap, level = self.left_of(part, customer, plan)
+        else:
+            rate = plan.ceiling_rate / len(self.forwarders)
+            shares = [rate * (self.now - lender.free_at) for lender in self.usable(part)]
+            cap, level = sum(shares), plan.burst
+        self.tell(Allotted(customer, plan_name, part.share, part.ceiling, cap, level))
+
+    def usable(self, part: Part) -> list[Lender]:
+        return [lender for lender in part.lenders.values()
+                if lender.free_at <= self.now < lender.until]
+
+    def recall(self, session: Session, message: Recall) -> None:
+        wanted = set(message.parts)
+        for number in [n for n in session.asks.values() if self.jobs[n].part.number in wanted]:
+            self.drop(number)
+        for part_number in wanted:
+            if 0 <= part_number < len(self.parts):
+                self.unlend(self.parts[part_number], session)
+        if message.token:
+            session.outbox.append(Returned(message.token))
+
+    def bequeath(self, session: Session) -> None:
+        echoed = session.beats.get(session.echoed)
+        if echoed is None:
+            return
+        for part in self.parts:
+            lender = part.lenders.get(session.name)
+            if lender is not None and lender.session is session:
+                lender.bequest_until = echoed + self.terms.bequest * (1.0 - DRIFT)
+        self.review_at = self.now
+
+    def unlend(self, part: Part, session: Session) -> None:
+        part.waiting = [(s, ask) for s, ask in part.waiting if s is not session]
+        lender = part.lenders.get(session.name)
+        if lender is None or lender.session is not session:
+            return
+        del part.lenders[session.name]
+        self.review(part)
+        if not part.lenders:
+            part.spends.clear()
+
+    def review(self, part: Part) -> None:
+        """Tells the module how much of the part's quotas and ceilings is here now, where that has changed."""
+        usable = len(self.usable(part))
+        ceiling = usable / len(self.forwarders)
+        most = 2 * len(part.lenders) > len(self.forwarders)
+        # quotas are soft: who has most forwarders serves them whole, the others their own part
+        share = 1.0 if most else len(part.lenders) / len(self.forwarders)
+        if (ceiling, share) == (part.ceiling, part.share):
+            return
+        part.ceiling, part.share = ceiling, share
+        for customer, plan in list(part.customers.items()):
+            if customer in self.gateway.throttles:
+                self.tell(Allotted(customer, plan, share, ceiling))
+            else:
+                del part.customers[customer]
+
+    # time
+
+    def echoed(self, session: Session, number: int) -> None:
+        sent = session.beats.get(number)
+        if sent is None:
+            return
+        if number > session.echoed:
+            session.echoed = number
+            usable_before = self.now < session.loan_until
+            session.loan_until = sent + self.terms.usable
+            if not usable_before:
+                self.review_at = self.now
+                self.advance(self.now)
+
+    def beat(self, session: Session) -> None:
+        session.last_beat += 1
+        session.beats[session.last_beat] = self.now
+        while len(session.beats) > KEPT_BEATS:
+            del session.beats[next(iter(session.beats))]
+        session.outbox.append(Beat(session.last_beat, self.gathered))
+
+    def tick(self, now: float) -> None:
+        """To be called `beat_every`: asks all forwarders to lend for one more lease."""
+        self.advance(now)
+        if not self.gathered and self.now >= self.born + self.terms.settle:
+            self.gathered = True
+        for session in self.sessions.values():
+            self.beat(session)
+            if self.now - session.heard > self.terms.dead_after:
+                self.dead.append(session)
+        for part in self.parts:
+            if part.waiting and self.now >= part.taken_at + self.terms.gather:
+                self.flush(part)
+        if self.now >= self.swept_at + SWEEP_EVERY:
+            # a forwarder tells of every end; what it should have told of long ago must not fill the table
+            self.swept_at = self.now
+            for number in [n for n, job in self.jobs.items() if job.request.deadline + OVERDUE < self.now]:
+                self.drop(number)
+
+    def flush(self, part: Part) -> None:
+        waiting, part.waiting = part.waiting, []
+        for session, ask in waiting:
+            self.decide(session, ask, part, part.taken_at)
+
+    def advance(self, now: float) -> None:
+        """Before anything else is decided: what is no longer lent is not spent."""
+        self.now = max(self.now, now)
+        if self.now < self.review_at:
+            return
+        changes = [s.loan_until for s in self.sessions.values() if s.loan_until > self.now]
+        for part in self.parts:
+            for lender in list(part.lenders.values()):
+                if lender.free_at > self.now:
+                    changes.append(lender.free_at)
+                if lender.bequest_until > self.now:
+                    changes.append(lender.bequest_until)
+                elif self.sessions.get(lender.session.name) is not lender.session:
+                    self.unlend(part, lender.session)  # a bequest is over
+            self.review(part)
+        self.review_at = min(changes, default=float("inf"))
+
+    def leave(self, now: float) -> None:
+        """A planned stop: the forwarders lend their parts elsewhere, and take their requests with them."""
+        self.advance(now)
+        self.leaving = True
+        for session in self.sessions.values():
+            session.outbox.append(Leaving())
+
+    def holds_nothing(self) -> bool:
+        return not any(part.lenders for part in self.parts)
+
+    def said(self, session: Session) -> tuple[list[AnyMessage], int, int]:
+        """What there is to say on a link: messages, basis, acked. It counts as said."""
+        messages, session.outbox, session.acked_told = session.outbox, [], session.acked
+        return messages, session.echoed, session.acked
--- /dev/null
+++ b/embersill/tiers/roles.py
@@ -0,0 +1,152 @@
+"""The processes of the two levels, put together: a forwarder's, a planner's, and the choice among them."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import json
+import logging
+import os
+import signal
+from dataclasses import replace
+
+from embersill.configuration.operator import Tiers, read_operator
+from embersill.configuration.platform import BadConfiguration, Configuration, read_configuration
+from embersill.interface import BackendList, Status
+from embersill.net.discovery import Discovery, Listing
+from embersill.roles import FIRST_LIST_WITHIN, Program, start_clock
+from embersill.tiers.forwarder import Forwarder
+from embersill.tiers.links import ForwarderLinks, PlannerServer
+from embersill.tiers.planner import Planner
+from embersill.tiers.wire import Secret
+
+LINKED_WITHIN = 0.5  # seconds that a forwarder waits for a planner before it is ready without one
+HANDED_OVER = 2.0  # seconds for forwarders to lend their parts elsewhere when a planner stops
+LOOK_EVERY = 0.02  # seconds between looks at whether they have
+
+log = logging.getLogger("embersill")
+
+
+class ForwarderProgram(Program):
+    """A gateway's sockets, with a forwarder in place of the module."""
+
+    def __init__(self, told: Configuration, tiers: Tiers) -> None:
+        clock = start_clock()
+        core = Forwarder(
+            told.settings, told.seed, clock(), forwarders=len(tiers.forwarders), planners=tiers.planners,
+            parts=tiers.parts, terms=tiers.terms, most_customers=tiers.most_customers)
+        self.links = ForwarderLinks(
+            core, clock, Secret(tiers.secret), told.name, tiers.planners,
+            most_frame=tiers.most_frame, most_unsent=tiers.most_unsent)
+        super().__init__(told, clock, self.links)
+
+    async def start(self) -> None:
+        self.links.start(self.driver)
+        await super().start()
+        self.settled = False
+        end = self.loop.time() + LINKED_WITHIN
+        while self.loop.time() < end and not any(link.up for link in self.links.core.links.values()):
+            await asyncio.sleep(LOOK_EVERY)
+        self.settled = True
+
+    async def stop(self, still_coming: float | None = None, all_answered: float | None = None) -> None:
+        given = [x for x in (still_coming, all_answered) if x is not None]
+        await super().stop(*given)
+        self.links.close()
+        await asyncio.sleep(0)  # the last words are with the kernel before the loop ends
+
+
+class PlannerProgram:
+    """A planner: links in place of clients, and no backend connection of its own."""
+
+    def __init__(self, told: Configuration, tiers: Tiers) -> None:
+        if told.name not in tiers.planners:
+            raise BadConfiguration(f"tiers.planners: this planner, {told.name!r}, is not among them")
+        self.clock = start_clock()
+        self.core = Planner(
+            told.settings, told.seed, self.clock(), forwarders=tiers.forwarders,
+            planners=len(tiers.planners), parts=tiers.parts, terms=tiers.terms,
+            most_customers=tiers.most_customers, most_open=tiers.most_open)
+        self.server = PlannerServer(
+            self.core, self.clock, Secret(tiers.secret), told.name, most_frame=tiers.most_frame,
+            most_unsent=tiers.most_unsent)
+        self.address = tiers.planners[told.name]
+        self.places: dict[str, tuple[str, int]] = {}
+        self.filed = told.discovery_filed
+        self.list_told(told.known)
+        self.discovery = Discovery(told.discovery, told.limits.dial_timeout, self.list_told)
+
+    def list_told(self, listing: Listing) -> None:
+        backends = []
+        for entry in listing.entries:
+            backend = entry.backend
+            if backend.status is Status.SERVING:
+                for old in [b for b, place in self.places.items() if place == entry.address]:
+                    if old != backend.address:  # its address has gone to another: it is no more
+                        del self.places[old]
+                        backends.append(replace(backend, address=old, status=Status.GONE))
+                self.places[backend.address] = entry.address
+            else:
+                self.places.pop(backend.address, None)
+            backends.append(backend)
+        if listing.whole:
+            named = {b.address for b in backends}
+            self.places = {b: place for b, place in self.places.items() if b in named}
+        self.core.list_told(BackendList(listing.kind, tuple(backends)), self.clock())
+        self.server.due()
+
+    def reload(self) -> None:
+        """Moves discovery to where the file says now; without a usable file nothing changes."""
+        try:
+            fresh = read_configuration(dict(os.environ))
+        except BadConfiguration as error:
+            return log.warning("the configuration stays as it was: %s", error)
+        before, self.filed = self.filed, fresh.discovery_filed
+        if fresh.discovery_filed is not None and fresh.discovery_filed != before:
+            self.discovery.move(fresh.discovery_filed)
+        return None
+
+    async def start(self) -> None:
+        self.discovery.start()
+        try:
+            async with asyncio.timeout(FIRST_LIST_WITHIN):
+                await self.discovery.heard.wait()
+        except TimeoutError:
+            pass
+        await self.server.start(self.address)
+
+    async def stop(self) -> None:
+        """Hands its parts over first: what it has decided is decided on elsewhere, not answered anew."""
+        self.core.leave(self.clock())
+        self.server.due()
+        end = self.clock() + HANDED_OVER
+        while not self.core.holds_nothing() and self.clock() < end:
+            await asyncio.sleep(LOOK_EVERY)
+        self.server.close()
+        self.discovery.stop()
+
+    async def run(self) -> None:
+        stop, loop = asyncio.Event(), asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+        await self.start()
+        gc.freeze()
+        await stop.wait()
+        await self.stop()
+
+
+async def run_role(told: Configuration, path: str) -> None:
+    """Runs the role that the operator file gives this process, to its end."""
+    operator = read_operator(path)
+    if operator.role == "gateway" or operator.tiers is None:
+        return await Program(told).run()
+    if operator.role == "planner":
+        program: PlannerProgram | ForwarderProgram = PlannerProgram(told, operator.tiers)
+    else:
+        if told.name not in operator.tiers.forwarders:
+            raise BadConfiguration(
+                f"{path}: tiers.forwarders: this forwarder, {json.dumps(told.name)}, is not among them")
+        program = ForwarderProgram(told, operator.tiers)
+    return await program.run()
--- /dev/null
+++ b/embersill/tiers/wire.py
@@ -0,0 +1,189 @@
+"""Frames on a link, and how each end proves that it knows the shared secret. No I/O.
+
+A frame is its length, four bytes big-endian, and that many bytes. The first three on a link are the
+handshake, after which every frame is a batch, numbered from 1 without a gap:
+
+1. planner: Challenge, with a nonce of its own.
+2. forwarder: Proof, with a nonce of its own and an HMAC-SHA256 (RFC 2104) over all that both said.
+3. planner: Welcome, with an HMAC over the same in its own name; or Turned, with the reason, and a close.
+
+Both prove themselves, and neither's proof can be used for the other's or on another link. What follows is
+neither signed nor encrypted: links belong on a network that only the operator's machines are on.
+"""
+
+from __future__ import annotations
+
+import hmac
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+import msgspec
+
+from embersill.tiers.messages import MOST_TEXT, VERSION, BadFrame, Batch, encoder, read_batch
+
+MAGIC = "embersill-tiers"
+NONCE = 32  # bytes
+MOST_HANDSHAKE = 1024  # bytes of a frame before the other end has proved itself
+
+
+class Challenge(msgspec.Struct, array_like=True, frozen=True, tag="challenge"):
+    magic: str
+    version: int
+    name: str
+    incarnation: str
+    nonce: bytes
+
+
+class Proof(msgspec.Struct, array_like=True, frozen=True, tag="proof"):
+    magic: str
+    version: int
+    name: str
+    nonce: bytes
+    mac: bytes
+
+
+class Welcome(msgspec.Struct, array_like=True, frozen=True, tag="welcome"):
+    mac: bytes
+
+
+class Turned(msgspec.Struct, array_like=True, frozen=True, tag="turned"):
+    reason: str
+
+
+class Stranger(Exception):
+    """The other end is not one of this deployment's: wrong version, name or secret."""
+
+
+@dataclass(frozen=True, slots=True)
+class Secret:
+    key: bytes
+
+    def mac(self, role: str, challenge: Challenge, name: str, nonce: bytes) -> bytes:
+        said = msgspec.msgpack.encode([
+            MAGIC, VERSION, role, challenge.name, challenge.incarnation, challenge.nonce, name, nonce])
+        return hmac.digest(self.key, said, "sha256")
+
+
+def read_handshake(frame: bytes, *kinds: type[msgspec.Struct]) -> msgspec.Struct:
+    """A handshake frame of one of the kinds; Stranger for anything else."""
+    for kind in kinds:
+        try:
+            return msgspec.msgpack.decode(frame, type=kind)
+        except (msgspec.DecodeError, msgspec.ValidationError, RecursionError):
+            continue
+    raise Stranger("no handshake of this protocol")
+
+
+def check_form(said: Challenge | Proof) -> None:
+    if said.magic != MAGIC:
+        raise Stranger("no handshake of this protocol")
+    if said.version != VERSION:
+        raise Stranger(f"version {said.version} where {VERSION} is spoken here")
+    if not 0 < len(said.name) <= MOST_TEXT or len(said.nonce) != NONCE:
+        raise Stranger("a handshake out of form")
+
+
+class FrameReader:
+    """Cuts a stream into frames of at most `most` bytes."""
+
+    def __init__(self, most: int) -> None:
+        self.most = most
+        self.data = bytearray()
+
+    def feed(self, data: bytes) -> Iterator[bytes]:
+        """The frames that are whole now; BadFrame as soon as one says that it is over the bound.
+
+        One at a time: the handshake's end raises the bound for what stands right behind it.
+        """
+        self.data += data
+        at = 0
+        try:
+            while len(self.data) - at >= 4:
+                size = int.from_bytes(self.data[at:at + 4], "big")
+                if size > self.most:
+                    raise BadFrame(f"a frame of {size} bytes, over the bound of {self.most}")
+                if len(self.data) - at - 4 < size:
+                    break
+                at += 4 + size
+                yield bytes(self.data[at - size:at])
+        finally:
+            del self.data[:at]
+
+
+def framed(body: bytes) -> bytes:
+    return len(body).to_bytes(4, "big") + body
+
+
+class Numbers:
+    """Holds the batches of one direction to their order: none twice, none missing."""
+
+    def __init__(self) -> None:
+        self.sent = self.got = 0
+
+    def read(self, frame: bytes) -> Batch:
+        batch = read_batch(frame)
+        if batch.number != self.got + 1:
+            raise BadFrame(f"batch {batch.number} where {self.got + 1} should come")
+        self.got += 1
+        return batch
+
+
+def pack(batch: Batch) -> bytes:
+    return framed(encoder.encode(batch))
+
+
+class PlannerSide:
+    """The handshake as the planner has it: `challenge` goes out first, `check` takes the proof."""
+
+    def __init__(self, secret: Secret, name: str, incarnation: str, nonce: bytes) -> None:
+        self.secret = secret
+        self.said = Challenge(MAGIC, VERSION, name, incarnation, nonce)
+
+    def challenge(self) -> bytes:
+        return framed(msgspec.msgpack.encode(self.said))
+
+    def check(self, frame: bytes, known: frozenset[str]) -> tuple[str, bytes]:
+        """The forwarder's name, and the welcome for it; Stranger for one that may not link."""
+        proof = read_handshake(frame, Proof)
+        assert isinstance(proof, Proof)
+        check_form(proof)
+        # the proof before the name: who does not know the secret learns nothing of who is known
+        mac = self.secret.mac("forwarder", self.said, proof.name, proof.nonce)
+        if not hmac.compare_digest(mac, proof.mac):
+            raise Stranger("a wrong secret")
+        if proof.name not in known:
+            raise Stranger(f"no forwarder {proof.name!r} in the operator file")
+        welcome = Welcome(self.secret.mac("planner", self.said, proof.name, proof.nonce))
+        return proof.name, framed(msgspec.msgpack.encode(welcome))
+
+
+class ForwarderSide:
+    """The handshake as the forwarder has it."""
+
+    def __init__(self, secret: Secret, name: str, planner: str, nonce: bytes) -> None:
+        self.secret, self.name, self.planner, self.nonce = secret, name, planner, nonce
+        self.challenge: Challenge | None = None
+
+    def read(self, frame: bytes) -> bytes | None:
+        """The proof to send for a challenge, None for the welcome after it; Stranger for anything else."""
+        if self.challenge is None:
+            said = read_handshake(frame, Challenge)
+            assert isinstance(said, Challenge)
+            check_form(said)
+            if said.name != self.planner:
+                raise Stranger(f"planner {said.name!r} where {self.planner!r} should be")
+            self.challenge = said
+            mac = self.secret.mac("forwarder", said, self.name, self.nonce)
+            return framed(msgspec.msgpack.encode(Proof(MAGIC, VERSION, self.name, self.nonce, mac)))
+        answer = read_handshake(frame, Welcome, Turned)
+        if isinstance(answer, Turned):
+            raise Stranger(f"turned away: {answer.reason[:MOST_TEXT]}")
+        assert isinstance(answer, Welcome)
+        mac = self.secret.mac("planner", self.challenge, self.name, self.nonce)
+        if not hmac.compare_digest(mac, answer.mac):
+            raise Stranger("a wrong secret")
+        return None
+
+
+def turned(reason: str) -> bytes:
+    return framed(msgspec.msgpack.encode(Turned(reason)))
--- a/tests/bed.py
+++ b/tests/bed.py
@@ -11,7 +11,8 @@
 
 import uvloop
 
-from embersill.__main__ import Program, build_configuration
+from embersill.configuration.platform import build_configuration
+from embersill.roles import Program
 from tests.peers import (
     HOST, SOON, Asked, BackendPeer, CounterPeer, DiscoveryPeer, read_message, settings_text,
 )
