--- a/embersill/configuration/operator.py
+++ b/embersill/configuration/operator.py
@@ -31,6 +31,7 @@
     most_unsent_bytes: int = 8 << 20
     most_customers: int = 100_000
     most_open: int = 50_000
+    status_every: float = 0.0  # seconds between lines on the state, on standard output; nought: none
     terms: Terms = Terms()
 
 
@@ -50,6 +51,7 @@
     most_unsent: int
     most_customers: int
     most_open: int
+    status_every: float
     terms: Terms
 
 
@@ -96,6 +98,8 @@
     for key, (value, least, most) in bounds.items():
         if not least <= value <= most:
             raise ValueError(f"tiers.{key}: {value} is not from {least} to {most}")
+    if not 0 <= table.status_every <= 3600:
+        raise ValueError("tiers.status_every: must be from 0 to 3600 s")
     try:
         check_terms(table.terms)
     except ValueError as error:
@@ -105,4 +109,4 @@
         raise ValueError(f"tiers.secret_file: {table.secret_file} has fewer than {LEAST_SECRET} bytes")
     return Tiers(
         planners, tuple(table.forwarders), secret, table.parts, table.most_frame_bytes,
-        table.most_unsent_bytes, table.most_customers, table.most_open, table.terms)
+        table.most_unsent_bytes, table.most_customers, table.most_open, table.status_every, table.terms)
--- a/embersill/lab/simulation.py
+++ b/embersill/lab/simulation.py
@@ -213,14 +213,14 @@
     def flush(self) -> None:
         timers, self.core.timers = self.core.timers, []
         for delay, key in timers:
-            self.after(delay, lambda key=key: self.timer_due(key))  # type: ignore[misc]
+            self.after(delay, partial(self.timer_due, key, self.clock() + delay))
         for wire in list(self.wires):
             session = wire.session
             if session is not None and (session.outbox or session.acked > session.acked_told):
                 wire.send(self, *self.core.said(session))
 
-    def timer_due(self, key: str) -> None:
-        self.core.timer_due(key, self.clock())
+    def timer_due(self, key: str, due: float) -> None:
+        self.core.timer_due(key, due, max(due, self.clock()))
         self.flush()
 
 
--- a/embersill/tiers/forwarder.py
+++ b/embersill/tiers/forwarder.py
@@ -488,3 +488,12 @@
         self.stopping = True
         for name in {part.holder.name for part in self.parts if part.holder is not None}:
             self.outbox[name].append(Bequeath())
+
+    def status(self) -> dict[str, object]:
+        """What an operator watches; docs/operate/tiers.md explains each figure."""
+        holders: dict[str, int] = {}
+        for part in self.parts:
+            name = part.holder.name if part.holder is not None else ""
+            holders[name] = holders.get(name, 0) + 1
+        fit = sorted(link.name for link in self.links.values() if link.fit)
+        return {"links": fit, "holders": holders, "open": len(self.tasks), **self.counts}
--- a/embersill/tiers/links.py
+++ b/embersill/tiers/links.py
@@ -213,7 +213,7 @@
                 link.say(*self.core.said(session))
 
     def timer_due(self, key: str, due: float) -> None:
-        self.core.timer_due(key, max(self.clock(), due))
+        self.core.timer_due(key, due, max(self.clock(), due))
         self.due()
 
     def close(self) -> None:
--- a/embersill/tiers/planner.py
+++ b/embersill/tiers/planner.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+import math
+from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 
@@ -27,6 +29,9 @@
 OUTCOMES = {outcome.value: outcome for outcome in Outcome}
 KEPT_BEATS = 64  # of which the times are kept
 SWEEP_EVERY = 1.0  # seconds between looks for requests that should be over
+WORK_OFF = "~"  # key of the timer that works the backlog off; the module's begin with letters
+WORK_OFF_EVERY = 0.01  # seconds
+WORKED_OFF = 0.1  # of the backlog each time
 OVERDUE = 5.0  # seconds past its client's end from which a request is taken to be forgotten
 
 
@@ -69,7 +74,6 @@
     whole: bool = False  # all forwarders have lent it since it was taken: all that was spent is known
     ceiling: float = 0.0  # as told to the module
     share: float = 0.0
-    waiting: list[tuple[Session, Ask]] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -98,6 +102,7 @@
         self.jobs: dict[int, Job] = {}
         self.last_job = 0
         self.ledger = Ledger(settings.plans, most_customers, now)
+        self.backlog: deque[tuple[Session, Ask, Part, float]] = deque()  # asks of parts just taken
         self.most_open = most_open
         self.timers: list[tuple[float, str]] = []  # (delay, key) for whoever keeps the time
         self.dead: list[Session] = []  # links to be closed: nothing is heard on them
@@ -176,11 +181,12 @@
         session.acked = max(session.acked, ask.ask)
         part = self.part_for(session, ask.customer)
         self.counts["asks"] += 1
-        plan = self.plans.get(ask.plan)
-        gathering = not part.whole and self.now < part.taken_at + self.terms.gather
-        if gathering and plan is not None and plan.ceiling_rate > 0 and len(part.waiting) < self.most_open:
-            # the ceiling is empty until all forwarders have told what they passed on: a moment's patience
-            part.waiting.append((session, ask))
+        if self.now < part.taken_at + self.terms.gather and len(self.backlog) < self.most_open:
+            # until all forwarders have told what they passed on, quotas and ceilings are not known; and what
+            # another planner left undone comes in a heap that the backends' limits here would not let pass
+            if not self.backlog:
+                self.timers.append((WORK_OFF_EVERY, WORK_OFF))
+            self.backlog.append((session, ask, part, self.now))
         else:
             self.decide(session, ask, part, self.now)
 
@@ -221,9 +227,7 @@
         number = session.asks.get(ask)
         if number is not None:
             return self.drop(number)
-        for part in self.parts:
-            if part.waiting:
-                part.waiting = [(s, w) for s, w in part.waiting if s is not session or w.ask != ask]
+        self.backlog = deque(w for w in self.backlog if w[0] is not session or w[1].ask != ask)
         return None
 
     def ended(self, session: Session, ended: Ended) -> None:
@@ -289,10 +293,14 @@
                 self.counts["failed"] += 1
             self.forget(action.request)
 
-    def timer_due(self, key: str, now: float) -> None:
+    def timer_due(self, key: str, due: float, now: float) -> None:
         """One of `timers` is due. `now` is no earlier than that."""
         self.advance(now)
-        self.tell(TimerDue(key))
+        if key == WORK_OFF:
+            self.work_off()
+        elif key[:1] != "o" or now - due < self.terms.silent_after:
+            # an attempt that looks late only since this process stood still says nothing of its backend
+            self.tell(TimerDue(key))
 
     def list_told(self, event: BackendList, now: float) -> None:
         """Discovery's word; drains are passed on, so that no grant under way brings anything to them."""
@@ -329,9 +337,6 @@
                     self.make_whole(part)
         self.review_at = self.now
         self.advance(self.now)
-        for number in message.parts:
-            if self.parts[number].whole:
-                self.flush(self.parts[number])
 
     def take(self, part: Part) -> None:
         """Begins a part's term here: nothing is known of its ceilings yet, so they are empty."""
@@ -358,7 +363,9 @@
     def left_of(self, part: Part, customer: str, plan: Plan) -> tuple[float, float]:
         """What is surely left of a customer's ceiling, and about what of its quota; the part is whole."""
         spends = [(self.now - at, units) for at, units in part.spends.get(customer, ())]
-        spends += self.ledger.of(customer, self.now)
+        # what was granted before the part was taken is in the reports, as far as it was executed
+        spends += [(age, units) for age, units in self.ledger.of(customer, self.now)
+                   if age <= self.now - part.taken_at]
         horizon = horizon_of(plan)
         span = min(horizon, max(self.known_span(part), 0.0))
         cap = replay(plan.ceiling_depth, plan.ceiling_rate, span, 0.0, spends)
@@ -404,7 +411,7 @@
         self.review_at = self.now
 
     def unlend(self, part: Part, session: Session) -> None:
-        part.waiting = [(s, ask) for s, ask in part.waiting if s is not session]
+        self.backlog = deque(w for w in self.backlog if w[0] is not session or w[2] is not part)
         lender = part.lenders.get(session.name)
         if lender is None or lender.session is not session:
             return
@@ -459,19 +466,29 @@
             self.beat(session)
             if self.now - session.heard > self.terms.dead_after:
                 self.dead.append(session)
-        for part in self.parts:
-            if part.waiting and self.now >= part.taken_at + self.terms.gather:
-                self.flush(part)
         if self.now >= self.swept_at + SWEEP_EVERY:
             # a forwarder tells of every end; what it should have told of long ago must not fill the table
             self.swept_at = self.now
             for number in [n for n, job in self.jobs.items() if job.request.deadline + OVERDUE < self.now]:
                 self.drop(number)
 
-    def flush(self, part: Part) -> None:
-        waiting, part.waiting = part.waiting, []
-        for session, ask in waiting:
-            self.decide(session, ask, part, part.taken_at)
+    def work_off(self) -> None:
+        """Decides part of the backlog: what waited longest in parts that are whole or have waited enough."""
+        most = max(1, math.ceil(len(self.backlog) * WORKED_OFF))
+        ready: list[tuple[Session, Ask, Part, float]] = []
+        rest: deque[tuple[Session, Ask, Part, float]] = deque()
+        for waiting in self.backlog:
+            part = waiting[2]
+            known = part.whole or self.now >= part.taken_at + self.terms.gather
+            if known and len(ready) < most:
+                ready.append(waiting)
+            else:
+                rest.append(waiting)
+        self.backlog = rest
+        for session, ask, part, came in ready:
+            self.decide(session, ask, part, came)
+        if self.backlog:
+            self.timers.append((WORK_OFF_EVERY, WORK_OFF))
 
     def advance(self, now: float) -> None:
         """Before anything else is decided: what is no longer lent is not spent."""
@@ -500,6 +517,12 @@
     def holds_nothing(self) -> bool:
         return not any(part.lenders for part in self.parts)
 
+    def status(self) -> dict[str, object]:
+        """What an operator watches; docs/operate/tiers.md explains each figure."""
+        led = [part for part in self.parts if part.lenders]
+        return {"links": len(self.sessions), "leads": len(led), "whole": sum(part.whole for part in led),
+                "open": len(self.jobs), "customers": len(self.gateway.throttles), **self.counts}
+
     def said(self, session: Session) -> tuple[list[AnyMessage], int, int]:
         """What there is to say on a link: messages, basis, acked. It counts as said."""
         messages, session.outbox, session.acked_told = session.outbox, [], session.acked
--- a/embersill/tiers/roles.py
+++ b/embersill/tiers/roles.py
@@ -8,6 +8,7 @@
 import logging
 import os
 import signal
+from collections.abc import Callable
 from dataclasses import replace
 
 from embersill.configuration.operator import Tiers, read_operator
@@ -27,6 +28,17 @@
 log = logging.getLogger("embersill")
 
 
+def report_every(seconds: float, role: str, name: str, status: Callable[[], dict[str, object]]) -> None:
+    """A line of JSON on the state now and then, where the operator wants it."""
+    def report() -> None:
+        print(json.dumps({"role": role, "name": name, **status()}), flush=True)
+        loop.call_later(seconds, report)
+
+    if seconds > 0:
+        loop = asyncio.get_running_loop()
+        loop.call_later(seconds, report)
+
+
 class ForwarderProgram(Program):
     """A gateway's sockets, with a forwarder in place of the module."""
 
@@ -38,6 +50,7 @@
         self.links = ForwarderLinks(
             core, clock, Secret(tiers.secret), told.name, tiers.planners,
             most_frame=tiers.most_frame, most_unsent=tiers.most_unsent)
+        self.status_every = tiers.status_every
         super().__init__(told, clock, self.links)
 
     async def start(self) -> None:
@@ -48,6 +61,7 @@
         while self.loop.time() < end and not any(link.up for link in self.links.core.links.values()):
             await asyncio.sleep(LOOK_EVERY)
         self.settled = True
+        report_every(self.status_every, "forwarder", self.links.name, self.links.core.status)
 
     async def stop(self, still_coming: float | None = None, all_answered: float | None = None) -> None:
         given = [x for x in (still_coming, all_answered) if x is not None]
@@ -71,6 +85,7 @@
             self.core, self.clock, Secret(tiers.secret), told.name, most_frame=tiers.most_frame,
             most_unsent=tiers.most_unsent)
         self.address = tiers.planners[told.name]
+        self.status_every = tiers.status_every
         self.places: dict[str, tuple[str, int]] = {}
         self.filed = told.discovery_filed
         self.list_told(told.known)
@@ -114,6 +129,7 @@
         except TimeoutError:
             pass
         await self.server.start(self.address)
+        report_every(self.status_every, "planner", self.server.name, self.core.status)
 
     async def stop(self) -> None:
         """Hands its parts over first: what it has decided is decided on elsewhere, not answered anew."""
--- a/embersill/tiers/terms.py
+++ b/embersill/tiers/terms.py
@@ -29,8 +29,8 @@
 
     lease: float = 0.9
     fresh: float = 0.4  # below the 500 ms of a drain: an older grant may be for a backend that drains since
-    beat_every: float = 0.1
-    silent_after: float = 0.35  # without a word from a planner, from which its parts go elsewhere
+    beat_every: float = 0.05
+    silent_after: float = 0.25  # without a word from a planner, from which its parts go elsewhere
     dead_after: float = 3.0  # without a word, from which a link is closed: it may be open at this end only
     patience_part: float = 0.2  # of a request's budget that it waits for a planner to take it, at most
     patience_most: float = 0.3  # seconds of it, at most
