Two levels: tests of every hard moment, and benchmarks/tiers

Need: the issue's hard cases are to be shown, not said.

Change: tests bring about on the cores a planner's death between a grant and its outcome, one paused past its lease, a partition, late answers of an old leader, a slow planner, none at all, a forwarder without one, the death and the planned stop of either role, drains and cold backends at two planners; over sockets strangers, frames out of form or bound, and deployments of processes whose planners are killed and paused.

--- /dev/null
+++ b/benchmarks/closed_loop.py
@@ -0,0 +1,85 @@
+"""A closed load: so many kept connections, each asking again as soon as it has its answer."""
+
+from __future__ import annotations
+
+import asyncio
+from time import perf_counter
+from typing import cast
+
+from embersill.lab.standins import HOST
+
+CUSTOMERS = 100
+
+
+class Asker(asyncio.Protocol):
+    """One connection. Only the end of each answer is looked for: the load must cost less than what it loads."""
+
+    def __init__(self, load: ClosedLoop, number: int) -> None:
+        self.load, self.number, self.count = load, number, 0
+        self.transport: asyncio.Transport | None = None
+        self.asked_at, self.left, self.buffer = 0.0, 0, b""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.ask()
+
+    def ask(self) -> None:
+        if self.load.stopped or self.transport is None:
+            return
+        self.count += 1
+        customer = (self.number * 7 + self.count) % CUSTOMERS
+        self.asked_at = perf_counter()
+        self.transport.write(
+            b"GET /api?client=%016x HTTP/1.1\r\nHost: b\r\nX-Call-Id: %08x%08x\r\nX-Call-Class: lookup\r\n"
+            b"Plan: free\r\nX-Budget: 5.000\r\nQuota-Info: units=1,spread=1,first=0\r\n\r\n"
+            % (0xc000 + customer, self.number, self.count))
+
+    def data_received(self, data: bytes) -> None:
+        self.buffer += data
+        head, found, rest = self.buffer.partition(b"\r\n\r\n")
+        if not found:
+            return
+        length = int(head.lower().partition(b"content-length: ")[2].partition(b"\r\n")[0])
+        if len(rest) < length:
+            return
+        self.buffer = rest[length:]
+        self.load.done(head.startswith(b"HTTP/1.1 200"), perf_counter() - self.asked_at)
+        self.ask()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+
+
+class ClosedLoop:
+    def __init__(self, connections: int) -> None:
+        self.connections = connections
+        self.loop = asyncio.get_running_loop()
+        self.served = self.other = 0
+        self.latencies: list[float] = []
+        self.stopped = False
+
+    def done(self, served: bool, latency: float) -> None:
+        if served:
+            self.served += 1
+            self.latencies.append(latency)
+        else:
+            self.other += 1
+
+    def reset(self) -> None:
+        self.served = self.other = 0
+        self.latencies = []
+
+    async def start(self, port: int) -> None:
+        self.askers = [Asker(self, n) for n in range(self.connections)]
+        for asker in self.askers:
+            await self.loop.create_connection(lambda asker=asker: asker, HOST, port)  # type: ignore[misc]
+
+    def stop(self) -> None:
+        self.stopped = True
+        for asker in self.askers:
+            if asker.transport is not None:
+                asker.transport.close()
+
+    def quantile_us(self, part: float) -> float:
+        ordered = sorted(self.latencies)
+        return round(1e6 * ordered[int(part * (len(ordered) - 1))], 1) if ordered else 0.0
--- /dev/null
+++ b/benchmarks/planner_load.py
@@ -0,0 +1,78 @@
+"""Forwarders without clients: they ask a planner as fast as it answers, over the real links.
+
+Run by benchmarks.tiers as a process of its own for each planner, so that the planner is what is full.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+import time
+from pathlib import Path
+
+import uvloop
+
+from embersill.tiers.links import ForwarderLine, ForwarderLink
+from embersill.tiers.messages import AnyMessage, Ask, Batch, Beat, Echo, Ended, Grant, Lend
+from embersill.tiers.wire import Secret
+
+CUSTOMERS = 1000
+
+
+class Load:
+    """One named forwarder that lends all parts to one planner and keeps so many requests open there."""
+
+    def __init__(self, name: str, planner: str, port: int, secret: bytes, parts: int, most_open: int) -> None:
+        self.name, self.secret, self.parts, self.most_open = name, Secret(secret), parts, most_open
+        self.most_frame, self.most_unsent = 1 << 20, 64 << 20
+        self.loop = asyncio.get_running_loop()
+        self.clock = time.monotonic
+        self.asks = self.decided = 0
+        self.line = ForwarderLine(self, planner, ("127.0.0.1", port))  # type: ignore[arg-type]
+        self.link: ForwarderLink | None = None
+        # the line tells of its link by these two
+        self.line.up = self.up  # type: ignore[method-assign]
+        self.line.down = self.down  # type: ignore[method-assign]
+
+    def up(self, link: ForwarderLink, incarnation: str) -> None:
+        self.link = link
+        link.say([Lend(list(range(self.parts)), 60.0, 0.0), *(self.ask() for _ in range(self.most_open))])
+
+    def down(self, link: ForwarderLink) -> None:
+        self.link = None
+
+    def ask(self) -> Ask:
+        self.asks += 1
+        return Ask(self.asks, "lookup", "free", f"{self.asks % CUSTOMERS:016x}", 5.0, 1.0, False)
+
+    def heard(self, planner: str, batch: Batch) -> None:
+        said: list[AnyMessage] = []
+        for message in batch.messages:
+            if isinstance(message, Grant):
+                said.append(Ended(message.ask, message.attempt, message.backend, "served", 0.02, True, 1.0))
+            elif isinstance(message, Beat):
+                said.append(Echo(message.number))
+                continue
+            else:
+                continue
+            self.decided += 1
+            said.append(self.ask())
+        if said and self.link is not None:
+            self.link.say(said)
+
+
+async def main() -> None:
+    port, planner, secret, names, seconds = sys.argv[1:6]
+    key = Path(secret).read_bytes().strip()
+    loads = [Load(name, planner, int(port), key, 64, 64) for name in names.split(",")]
+    await asyncio.sleep(1.0)
+    before, began = sum(load.decided for load in loads), time.monotonic()
+    print("began", flush=True)
+    await asyncio.sleep(float(seconds))
+    decided = sum(load.decided for load in loads) - before
+    print(json.dumps({"decided": decided, "seconds": time.monotonic() - began}), flush=True)
+
+
+if __name__ == "__main__":
+    uvloop.run(main())
--- a/embersill/lab/__main__.py
+++ b/embersill/lab/__main__.py
@@ -41,13 +41,13 @@
             held = ", ".join(f"{n or 'nobody'} {c}" for n, c in sorted(status["holders"].items()))
             state += f", obeys {held}; decided here {status['local']}"
         shown.add_row(member.name, member.role, state, f"{member.spent + member.cpu():.1f}")
-    rate = (figures["tries"] - before.get("tries", 0.0)) / REFRESH
-    before.update(figures)
+    rate = (figures["tries"] - before.get("tries", 0.0)) / max(passed - before.get("passed", 0.0), 0.1)
+    before.update(tries=figures["tries"], passed=passed)
     broken = {rule: int(figures[rule]) for rule in RULES if figures[rule]}
     shown.caption = (
         f"{rate:.0f} tries/s; {figures['tries']:.0f} asked, {figures['served']:.0f} served, "
-        f"{figures['refused']:.0f} refused, {figures['failed']:.0f} failed; median {figures['median_ms']} ms, "
-        f"p99 {figures['p99_ms']} ms; rules broken: {broken or 'none'}")
+        f"{figures['refused']:.0f} refused, {figures['failed']:.0f} failed; "
+        f"median {figures['median_ms']} ms, p99 {figures['p99_ms']} ms; rules broken: {broken or 'none'}")
     shown.caption_justify = "left"
     return shown
 
@@ -83,7 +83,8 @@
 
 def run_schedules(options: argparse.Namespace) -> dict[str, Any]:
     """Plays schedules on all cores; each one that breaks a rule is told with the seed that replays it."""
-    seeds = [options.seed] if options.seed is not None else range(options.first, options.first + options.seeds)
+    several = range(options.first, options.first + options.seeds)
+    seeds = several if options.seed is None else [options.seed]
     told: dict[str, Any] = {"schedules": 0, "broken": 0, "tries": 0, "written": 0}
     lowest, began = float("inf"), time.monotonic()
     with multiprocessing.Pool(min(os.cpu_count() or 1, len(seeds))) as pool:
--- a/embersill/lab/deployment.py
+++ b/embersill/lab/deployment.py
@@ -141,26 +141,32 @@
         for n, backend in enumerate(self.backends):
             self.discovery.entries[backend.name] = self.discovery.entry(backend, n % 2)
             self.books.cells[backend.name] = n % 2
-        ports = free_ports(shape.fronts + shape.planners)
-        self.fronts = [Front(f"g{n}", ports[n], idle=[]) for n in range(shape.fronts)]
-        planners = {f"p{n}": ports[shape.fronts + n] for n in range(shape.planners)}
-        folder = Path(self.folder.name)
-        if planners:
-            (folder / "secret").write_text(secrets.token_hex(16))
-            for role in ("planner", "forwarder"):
-                (folder / f"{role}.toml").write_text(self.operator_text(role, planners))
-        for name in planners:
-            self.add(name, "planner", 0)
+        ports = free_ports(shape.fronts)
+        self.fronts = [Front(f"g{n}", port, idle=[]) for n, port in enumerate(ports)]
+        if shape.planners:
+            await self.start_planners([front.name for front in self.fronts])
         for front in self.fronts:
-            self.add(front.name, "forwarder" if planners else "gateway", front.port)
-        await asyncio.gather(*(member.start() for member in self.members.values()))
+            self.add(front.name, "forwarder" if shape.planners else "gateway", front.port)
+        await asyncio.gather(*(self.members[front.name].start() for front in self.fronts))
         await asyncio.gather(*(self.wait_ready(front) for front in self.fronts))
         self.traffic = Traffic(
             self.settings, self.books, self.fronts, self.customers(), shape.rate, shape.seed)
 
-    def operator_text(self, role: str, planners: dict[str, int]) -> str:
-        names = json.dumps([front.name for front in self.fronts])
-        lines = [f'role = "{role}"', "[tiers]", f"forwarders = {names}", 'secret_file = "secret"',
+    async def start_planners(self, forwarders: list[str]) -> dict[str, int]:
+        """Starts the planners for forwarders by these names; tells the ports."""
+        planners = {f"p{n}": port for n, port in enumerate(free_ports(self.shape.planners))}
+        folder = Path(self.folder.name)
+        (folder / "secret").write_text(secrets.token_hex(16))
+        for role in ("planner", "forwarder"):
+            (folder / f"{role}.toml").write_text(self.operator_text(role, forwarders, planners))
+        for name in planners:
+            self.add(name, "planner", 0)
+        await asyncio.gather(*(self.members[name].start() for name in planners))
+        return planners
+
+    def operator_text(self, role: str, forwarders: list[str], planners: dict[str, int]) -> str:
+        lines = [f'role = "{role}"', "[tiers]", f"forwarders = {json.dumps(forwarders)}",
+                 'secret_file = "secret"',
                  f"status_every = {self.shape.status_every}", "[tiers.planners]"]
         return "\n".join([*lines, *(f'{n} = "{HOST}:{port}"' for n, port in planners.items())]) + "\n"
 
--- /dev/null
+++ b/tests/tiers/test_ledger.py
@@ -0,0 +1,77 @@
+"""What is left of a ceiling by its spends alone, and how customers are dealt out."""
+
+from __future__ import annotations
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from embersill.interface import Plan
+from embersill.tiers.ledger import MOST_SPENDS, Ledger, horizon_of, replay
+from embersill.tiers.parts import part_of, ranking
+
+PRO = Plan("pro", 12.0, 24.0, 0, 20.0, 40.0, 1.0, 0.0, 1.0)
+FREE = Plan("free", 0.0, 0.0, 0, 0.0, 0.0, 1.0, 0.0, 1.0)
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(st.lists(st.tuples(st.floats(0.0, 0.6), st.floats(0.1, 8.0)), max_size=120))
+def test_a_replay_never_tells_of_more_than_is_left(spends: list[tuple[float, float]]) -> None:
+    """A true bucket lets some of the spends through; the ledger that saw them must not claim more."""
+    now, level, ledger = 100.0, PRO.ceiling_depth, Ledger((PRO,), 100, 100.0)
+    for wait, units in spends:
+        now += wait
+        level = min(PRO.ceiling_depth, level + PRO.ceiling_rate * wait)
+        if units <= level:
+            level -= units
+            ledger.spent("c", "pro", units, now)
+    span = min(horizon_of(PRO), now - ledger.since)
+    told = replay(PRO.ceiling_depth, PRO.ceiling_rate, span, 0.0, ledger.of("c", now))
+    assert 0.0 <= told <= level + 1e-6
+
+
+def test_a_quiet_customer_has_all_of_its_ceiling() -> None:
+    assert replay(40.0, 20.0, horizon_of(PRO), 0.0, []) == 40.0
+    assert replay(40.0, 20.0, 1.0, 0.0, []) == 20.0  # known for a second only
+
+
+def test_a_ledger_at_its_bound_says_since_when_it_knows_all() -> None:
+    ledger = Ledger((PRO, FREE), 3, 100.0)
+    for number in range(5):
+        ledger.spent(f"c{number}", "pro", 1.0, 101.0 + number / 10)
+    assert len(ledger.spends) == 3
+    assert ledger.since == 101.1  # the last spend of those that were dropped
+    ledger.spent("x", "free", 1.0, 102.0)
+    assert "x" not in ledger.spends
+
+
+def test_many_spends_of_one_customer_are_kept_as_few() -> None:
+    ledger = Ledger((PRO,), 3, 100.0)
+    for number in range(10 * MOST_SPENDS):
+        ledger.spent("c", "pro", 0.01, 100.0 + number / 1000)
+    assert len(ledger.of("c", 101.0)) == MOST_SPENDS
+    assert abs(sum(units for _, units in ledger.of("c", 101.0)) - 0.1 * MOST_SPENDS) < 1e-9
+
+
+def test_old_customers_go_as_new_ones_come() -> None:
+    ledger = Ledger((PRO,), 1000, 100.0)
+    for number in range(5000):
+        ledger.spent(f"c{number}", "pro", 1.0, 100.0 + number / 100)
+    assert len(ledger.spends) <= 100 * horizon_of(PRO) + 1 and ledger.since == 100.0
+
+
+def test_customers_are_dealt_out_evenly_and_alike_everywhere() -> None:
+    counts = [0] * 64
+    for number in range(64_000):
+        counts[part_of(f"{number:016x}", 64)] += 1
+    assert min(counts) > 800 and max(counts) < 1200
+    assert part_of("00000000000000c1", 64) == 37  # the same on every machine and in every version
+
+
+def test_a_planner_that_leaves_moves_its_own_parts_only() -> None:
+    four, three = ["p1", "p2", "p3", "p4"], ["p1", "p2", "p4"]
+    moved = 0
+    for part in range(512):
+        before, after = ranking(part, four), ranking(part, three)
+        assert after == [name for name in before if name != "p3"]
+        moved += before[0] == "p3"
+    assert 90 < moved < 170
--- /dev/null
+++ b/tests/tiers/test_links.py
@@ -0,0 +1,234 @@
+"""Links over real sockets, and whole deployments of processes in trouble."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+
+import pytest
+
+from embersill.lab.deployment import Deployment, Shape, free_ports, play
+from embersill.lab.settings import lab_settings
+from embersill.lab.standins import HOST, Behaviour
+from embersill.tiers.links import HANDSHAKE_WITHIN, PlannerServer
+from embersill.tiers.messages import Ask, Batch, Lend
+from embersill.tiers.planner import Planner
+from embersill.tiers.terms import Terms
+from embersill.tiers.wire import ForwarderSide, FrameReader, Secret, framed, pack
+from tests.bed import run
+from tests.peers import SOON
+
+KEY = b"k" * 32
+RULES = ("answers_none", "answers_two", "answers_wrong", "unsafe_twice", "keyed_twice", "refused_after_run",
+         "unknown_sent", "late_drain_sends", "ceiling_over_slack")
+
+
+async def planner() -> PlannerServer:
+    loop = asyncio.get_running_loop()
+    core = Planner(lab_settings(1), 1, loop.time(), forwarders=["f0"], planners=1, parts=4, terms=Terms())
+    server = PlannerServer(core, loop.time, Secret(KEY), "p0", most_frame=1 << 18, most_unsent=1 << 20)
+    await server.start((HOST, 0))
+    return server
+
+
+class Linked:
+    """A forwarder's end of a link, by hand."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer, self.frames = reader, writer, FrameReader(1 << 20)
+
+    async def frame(self) -> bytes:
+        async with asyncio.timeout(SOON):
+            size = int.from_bytes(await self.reader.readexactly(4), "big")
+            return await self.reader.readexactly(size)
+
+    async def closed(self) -> bool:
+        async with asyncio.timeout(SOON):
+            try:
+                while await self.reader.read(1 << 16):
+                    pass
+            except ConnectionError:
+                pass
+            return True
+
+
+async def linked(server: PlannerServer, key: bytes = KEY, name: str = "f0") -> Linked:
+    link = Linked(*await asyncio.open_connection(HOST, server.port))
+    side = ForwarderSide(Secret(key), name, "p0", b"n" * 32)
+    proof = side.read(await link.frame())
+    assert proof is not None
+    link.writer.write(proof)
+    side.read(await link.frame())
+    return link
+
+
+@pytest.mark.parametrize(("key", "name"), [(b"x" * 32, "f0"), (KEY, "f7")])
+def test_strangers_are_told_and_closed(key: bytes, name: str) -> None:
+    async def test() -> None:
+        server = await planner()
+        with pytest.raises(Exception, match="turned away"):
+            await linked(server, key, name)
+        assert not server.links and not server.core.sessions
+        server.close()
+
+    run(test)
+
+
+@pytest.mark.parametrize("text", [
+    b"GET / HTTP/1.1\r\n\r\n", (1 << 20).to_bytes(4, "big"), framed(b"\xc1" * 10),
+])
+def test_what_is_no_handshake_is_closed_at_once(text: bytes) -> None:
+    async def test() -> None:
+        server = await planner()
+        link = Linked(*await asyncio.open_connection(HOST, server.port))
+        await link.frame()
+        began = asyncio.get_running_loop().time()
+        link.writer.write(text)
+        assert await link.closed()
+        assert asyncio.get_running_loop().time() - began < HANDSHAKE_WITHIN / 2
+        server.close()
+
+    run(test)
+
+
+def test_one_that_proves_nothing_is_closed_in_time_and_many_are_bounded(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("embersill.tiers.links.HANDSHAKE_WITHIN", 0.2)
+    monkeypatch.setattr("embersill.tiers.links.MOST_STRANGERS", 8)
+
+    async def test() -> None:
+        server = await planner()
+        links = [Linked(*await asyncio.open_connection(HOST, server.port)) for _ in range(20)]
+        assert len(server.strangers) <= 8
+        assert all([await link.closed() for link in links])
+        assert not server.strangers
+        (await linked(server)).writer.close()
+        server.close()
+
+    run(test)
+
+
+@pytest.mark.parametrize("text", [
+    (1 << 19).to_bytes(4, "big"),
+    framed(b"\x00"),
+    pack(Batch(2, 0, 0, [])),  # the first is missing
+    pack(Batch(1, 0, 0, [Lend([99], 0.0, 0.0)])),
+    pack(Batch(1, 0, 0, [Ask(1, "lookup", "free", "c", 1.0, 1.0, False)])),  # of a part that is not lent
+])
+def test_a_member_that_breaks_the_form_loses_its_link_and_no_more(text: bytes) -> None:
+    async def test() -> None:
+        server = await planner()
+        link = await linked(server)
+        link.writer.write(text)
+        assert await link.closed()
+        assert not server.links and not server.core.sessions
+        again = await linked(server)
+        again.writer.close()
+        server.close()
+
+    run(test)
+
+
+def test_a_new_link_takes_the_place_of_an_old_one() -> None:
+    async def test() -> None:
+        server = await planner()
+        first, second = await linked(server), await linked(server)
+        assert await first.closed()
+        assert list(server.core.sessions) == ["f0"]
+        second.writer.close()
+        server.close()
+
+    run(test)
+
+
+def shape(**changes: object) -> Shape:
+    made = Shape(fronts=3, planners=2, backends=4, customers=24, rate=120.0,
+                 behaviour=Behaviour(0.01, 0.05, errors=0.01, resets=0.01, turned_away=0.02))
+    for name, value in changes.items():
+        setattr(made, name, value)
+    return made
+
+
+def broken(told: dict[str, object]) -> dict[str, object]:
+    return {rule: told[rule] for rule in RULES if told[rule]}
+
+
+async def played(deployment: Deployment, seconds: float, **trouble: float) -> dict[str, object]:
+    async with asyncio.timeout(seconds + 4 * SOON):
+        return await play(deployment, seconds, **trouble)
+
+
+def runs(test: object) -> None:
+    import uvloop
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(test)  # type: ignore[arg-type]
+
+
+def test_planners_that_are_killed_and_paused_break_no_rule() -> None:
+    async def test() -> None:
+        deployment = Deployment(shape())
+        told = await played(deployment, 7.0, trouble_every=1.2, drain_every=0.7)
+        assert not broken(told) and not told["bad_ends"], told
+        assert deployment.books.counts["planner_kills"] and deployment.books.counts["planner_pauses"]
+        assert told["served"] > 0.8 * told["tries"]  # type: ignore[operator]
+        assert not list(deployment.logs())
+
+    runs(test())
+
+
+def test_forwarders_serve_with_all_planners_gone_and_come_back() -> None:
+    async def test() -> None:
+        deployment = Deployment(shape(rate=60.0))
+        await deployment.start()
+        try:
+            traffic = asyncio.create_task(deployment.traffic.run(5.0))
+            await asyncio.sleep(1.0)
+            await asyncio.gather(*(member.kill() for member in deployment.planners()))
+            served = deployment.books.counts["served"]
+            await asyncio.sleep(2.0)
+            assert deployment.books.counts["served"] > served + 40
+            await asyncio.gather(*(member.start() for member in deployment.planners()))
+            await traffic
+            await deployment.traffic.drained(SOON)
+            codes = await deployment.stop()
+        finally:
+            deployment.close()
+        told = deployment.books.figures()
+        assert not broken({**told}) and not codes, told
+
+    runs(test())
+
+
+def test_a_planner_that_stops_in_order_hands_over() -> None:
+    async def test() -> None:
+        deployment = Deployment(shape())
+        await deployment.start()
+        try:
+            traffic = asyncio.create_task(deployment.traffic.run(3.0))
+            await asyncio.sleep(1.0)
+            member = deployment.members["p0"]
+            member.send(signal.SIGTERM)
+            assert await member.ended() == 0
+            await traffic
+            await deployment.traffic.drained(SOON)
+            codes = await deployment.stop()
+        finally:
+            deployment.close()
+        told = deployment.books.figures()
+        assert not broken({**told}) and not codes, told
+        assert told["failed"] <= 0.05 * told["tries"]
+
+    runs(test())
+
+
+def test_a_killed_forwarder_loses_only_what_it_held() -> None:
+    async def test() -> None:
+        told = await played(Deployment(shape()), 5.0, restart_front_every=1.5)
+        assert not broken(told) and told["front_kills"], told
+
+    runs(test())
+
+
+def test_free_ports_are_different() -> None:
+    assert len(set(free_ports(20))) == 20
--- a/tests/tiers/test_schedules.py
+++ b/tests/tiers/test_schedules.py
@@ -52,7 +52,8 @@
     opened = Planner.opened
 
     def forget(self: Planner, session: Session, ask: Open) -> None:
-        told = [(backend, age, "turned away") for backend, age, _ in ask.attempts]
+        told: list[tuple[str, float, str | None]] = [
+            (backend, age, "turned away") for backend, age, _ in ask.attempts]
         opened(self, session, Open(ask.ask, ask.klass, ask.plan, ask.customer, ask.left, ask.units,
                                    ask.repeat, ask.age, told))
 
--- /dev/null
+++ b/tests/tiers/test_takeover.py
@@ -0,0 +1,349 @@
+"""The hard moments of two levels, each brought about by hand on the cores."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from embersill.interface import AttemptEnded, ListKind, Outcome, Refuse, Status
+from embersill.lab.settings import lab_settings
+from embersill.tiers.messages import Batch, Grant, Recall, Refused
+from embersill.tiers.parts import part_of
+from tests.tiers.helpers import PARTS, TERMS, Bench, backends
+
+
+def ended(bench: Bench, forwarder: str, number: int, outcome: Outcome, attempt: int = 0) -> None:
+    send = bench.sends(forwarder, number)[attempt]
+    over = outcome is Outcome.SERVED
+    bench.did(forwarder, bench.forwarders[forwarder].handle(
+        AttemptEnded(number, attempt, send.backend, outcome, 0.1, over, 1.0, ()), bench.now))
+
+
+def other(name: str) -> str:
+    return "p1" if name == "p0" else "p0"
+
+
+@pytest.mark.parametrize("outcome", [Outcome.SERVED, Outcome.BROKEN, Outcome.TURNED_AWAY])
+def test_a_planner_dies_between_granting_an_extract_and_hearing_its_outcome(outcome: Outcome) -> None:
+    bench = Bench()
+    bench.link_all()
+    old = bench.holder("f0")
+    bench.ask("f0", 1, "extract", "pro", units=3.0)
+    bench.exchange()
+    assert len(bench.sends("f0", 1)) == 1
+    for forwarder in bench.names:
+        bench.cut(forwarder, old)
+    bench.exchange()
+    assert bench.holder("f0") == other(old)
+    ended(bench, "f0", 1, outcome)
+    bench.run(0.3)
+    sends, answers = bench.sends("f0", 1), bench.answers("f0", 1)
+    if outcome is Outcome.SERVED:
+        assert len(sends) == 1 and not answers  # the driver has answered it
+    elif outcome is Outcome.BROKEN:  # it may have run: never again, and no word that a retry is harmless
+        assert len(sends) == 1 and len(answers) == 1 and not isinstance(answers[0], Refuse)
+    else:
+        assert len(sends) == 2 and not answers
+    throttle = bench.planners[other(old)].gateway.throttles["c"]
+    pro = bench.settings.plans[1]
+    assert throttle.cap <= pro.ceiling_depth - 3.0 + pro.ceiling_rate * 0.4  # counted
+    assert throttle.cap >= pro.ceiling_depth - 3.0 - 1e-6 - pro.ceiling_rate * 2  # and not twice
+
+
+def test_units_spent_under_the_old_term_are_missing_from_the_new_ceiling() -> None:
+    bench = Bench()
+    bench.link_all()
+    bench.run(5.0)  # long enough for a full ceiling to be known
+    old = bench.holder("f0")
+    for number in range(8):
+        bench.ask("f0" if number % 2 else "f1", number + 1, plan="pro", units=3.0)
+    bench.exchange()
+    assert sum(len(bench.sends(f, n)) for f in bench.names for n in range(1, 9)) == 8
+    for forwarder in bench.names:
+        bench.cut(forwarder, old)
+    bench.exchange()
+    bench.ask("f0", 99, plan="pro", units=1.0)
+    bench.run(0.2)
+    cap = bench.planners[other(old)].gateway.throttles["c"].cap
+    pro = bench.settings.plans[1]
+    spent = 8 * 3.0 + 1.0
+    assert pro.ceiling_depth - spent <= cap + 1e-6 <= pro.ceiling_depth - spent + pro.ceiling_rate * 0.3
+
+
+def test_a_planner_that_was_paused_past_its_lease_is_not_obeyed_and_spends_nothing() -> None:
+    bench = Bench()
+    bench.link_all()
+    bench.run(5.0)
+    old = bench.holder("f0")
+    bench.ask("f0", 1, plan="pro", units=3.0)
+    bench.to_planner("f0", old)  # the ask lies at the planner, which stops right here
+    session = bench.sessions["f0", old]
+    grants, basis, acked = bench.planners[old].said(session)
+    assert any(isinstance(m, Grant) for m in grants)
+    bench.run(TERMS.lease + 0.5, frozen=(old,))
+    assert bench.holder("f0") == other(old) and len(bench.sends("f0", 1)) == 1
+    before = list(bench.sends("f0", 1))
+    # it is let go on: what it had said arrives, and what it now says of the ceiling is nothing
+    bench.did("f0", bench.forwarders["f0"].received(old, Batch(0, basis, acked, grants), bench.now))
+    assert bench.sends("f0", 1) == before
+    planner = bench.planners[old]
+    planner.tick(bench.now)
+    part = planner.parts[part_of("c", PARTS)]
+    assert not planner.usable(part) and part.ceiling == 0.0
+
+
+def test_a_resumed_planner_gets_nothing_lent_by_an_echo_alone() -> None:
+    """Found in schedules: its link still stood, and the next echo would have lent it what another had."""
+    bench = Bench()
+    bench.link_all()
+    old = bench.holder("f0")
+    bench.run(TERMS.silent_after + 0.1, frozen=(old,))
+    assert bench.holder("f0") == other(old)
+    assert any(isinstance(m, Recall) for m in bench.forwarders["f0"].outbox[old])
+
+
+def test_an_old_grant_is_not_executed() -> None:
+    """A grant under way for longer than it is fresh may be for a backend that drains since."""
+    bench = Bench()
+    bench.link_all()
+    holder = bench.holder("f0")
+    bench.ask("f0", 1)
+    bench.to_planner("f0", holder)
+    messages, basis, acked = bench.planners[holder].said(bench.sessions["f0", holder])
+    bench.now += TERMS.fresh + 0.2
+    bench.did("f0", bench.forwarders["f0"].received(holder, Batch(0, basis, acked, messages), bench.now))
+    assert not bench.sends("f0", 1)
+    assert bench.forwarders["f0"].counts["stale"] == 1
+    bench.planners[holder].tick(bench.now)
+    bench.to_forwarder("f0", holder)  # a beat, whose echo goes with the word that it was not sent
+    bench.exchange()
+    bench.run(0.1)
+    assert len(bench.sends("f0", 1)) == 1  # the planner heard that it was not sent, and grants again
+
+
+def test_a_share_is_not_lent_twice_at_once() -> None:
+    """A partition: each planner keeps one forwarder. Together they have one ceiling, at no time more."""
+    bench = Bench()
+    bench.link_all()
+    bench.run(TERMS.bequest)
+    old = bench.holder("f0")
+    # f1 loses the leader, which hears nothing of it
+    bench.cut("f1", old)
+    bench.exchange()
+    assert bench.holder("f0") == old and bench.holder("f1") == other(old)
+    part = part_of("c", PARTS)
+    shares = []
+    for _ in range(60):
+        bench.now += 0.02
+        for name in bench.planners:
+            bench.planners[name].tick(bench.now)
+        bench.exchange()
+        usable = [len(p.usable(p.parts[part])) for p in bench.planners.values()]
+        shares.append(usable)
+        assert sum(usable) <= len(bench.names)
+    assert shares[0][int(old == "p1")] == 2 and shares[0][int(old == "p0")] == 0  # both still at the old
+    assert shares[-1] == [1, 1]
+
+
+def test_both_sides_of_a_partition_hold_one_ceiling() -> None:
+    settings = lab_settings(2)
+    plans = tuple(replace(p, rate=100.0, burst=200.0, ceiling_rate=5.0, ceiling_depth=10.0)
+                  if p.name == "pro" else p for p in settings.plans)
+    bench = Bench(settings=replace(settings, plans=plans))
+    bench.link_all()
+    bench.run(5.0)
+    old, sent, number = bench.holder("f0"), list[float](), 0
+    bench.cut("f1", old)
+
+    def pour() -> None:
+        nonlocal number
+        for forwarder in bench.names:
+            number += 1
+            bench.ask(forwarder, number, plan="pro", units=1.0, budget=0.5)
+        bench.exchange()
+        bench.serve()
+
+    began = bench.now
+    bench.run(4.0, each=pour)
+    for forwarder in bench.names:
+        sent += [bench.now for n in range(1, number + 1) if bench.sends(forwarder, n)]
+    assert 10 <= len(sent) <= 10.0 + 5.0 * (bench.now - began) + 1e-6
+
+
+def test_the_answer_of_an_old_leader_after_the_new_ones_is_ignored() -> None:
+    bench = Bench()
+    bench.link_all()
+    old = bench.holder("f0")
+    bench.ask("f0", 1)
+    ask = bench.forwarders["f0"].last_ask
+    bench.run(TERMS.silent_after + 0.1, frozen=(old,))
+    assert len(bench.sends("f0", 1)) == 1
+    late = [Refused(ask, 1.0), Grant(ask, 0, "b0", 1.0)]
+    bench.did("f0", bench.forwarders["f0"].received(old, Batch(0, 1, 0, late), bench.now))  # type: ignore[arg-type]
+    assert len(bench.sends("f0", 1)) == 1 and not bench.answers("f0", 1)
+
+
+def test_a_slow_planner_costs_a_request_a_bounded_part_of_its_budget() -> None:
+    bench = Bench(planners=1)
+    bench.link_all()
+    bench.ask("f0", 1, budget=1.0)
+    began = bench.now
+    while not bench.sends("f0", 1):
+        bench.now += 0.01
+        # beats still come, so it is not silent, but it takes nothing
+        bench.did("f0", bench.forwarders["f0"].received("p0", Batch(0, 0, 0, []), bench.now))
+        bench.did("f0", bench.forwarders["f0"].tick(bench.now))
+        assert bench.now < began + 0.5
+    assert bench.now - began <= TERMS.patience_part * 1.0 + 0.02
+    assert bench.forwarders["f0"].counts["local"] == 1
+
+
+def test_no_planner_serves_each_share_and_comes_back_without_a_jump() -> None:
+    settings = lab_settings(2)
+    plans = tuple(replace(p, rate=100.0, burst=200.0, ceiling_rate=5.0, ceiling_depth=10.0)
+                  if p.name == "pro" else p for p in settings.plans)
+    bench = Bench(planners=1, settings=replace(settings, plans=plans))
+    bench.link_all()
+    bench.run(5.0)
+    for forwarder in bench.names:
+        bench.cut(forwarder, "p0")
+    number, began = 0, bench.now
+
+    def pour() -> None:
+        nonlocal number
+        for forwarder in bench.names:
+            number += 1
+            bench.ask(forwarder, number, plan="pro", units=1.0, budget=0.5)
+        bench.serve()
+
+    bench.run(TERMS.lease - 0.1, each=pour)
+    assert not any(bench.sends(f, n) for f in bench.names for n in range(number + 1))  # still lent
+    bench.run(10.0, each=pour)
+    alone = sum(bool(bench.sends(f, n)) for f in bench.names for n in range(number + 1))
+    assert 30 <= alone <= 5.0 * (bench.now - began) + 1e-6  # the whole rate, by shares, and no burst
+    bench.start_planner("p0")
+    for forwarder in bench.names:
+        bench.link(forwarder, "p0")
+
+    def pour_both() -> None:
+        pour()
+        bench.exchange()
+
+    bench.run(4.0, each=pour_both)
+    after = sum(bool(bench.sends(f, n)) for f in bench.names for n in range(number + 1)) - alone
+    assert 10 <= after <= 5.0 * 4.0 + 10.0 / 2 + 1.0  # no second burst: shares had spent what there was
+
+
+def test_a_forwarder_that_starts_with_no_planner_serves() -> None:
+    bench = Bench()
+    bench.ask("f0", 1)
+    bench.ask("f0", 2, plan="pro", customer="d")
+    assert len(bench.sends("f0", 1)) == 1
+    assert not bench.sends("f0", 2)  # an earlier life's bequest may still be spent elsewhere
+    bench.run(TERMS.bequest + 1.0)
+    bench.ask("f0", 3, plan="pro", customer="d")
+    assert len(bench.sends("f0", 3)) == 1
+
+
+def test_a_forwarder_that_dies_leaves_nothing_open_and_its_share_unused() -> None:
+    bench = Bench()
+    bench.link_all()
+    old = bench.holder("f0")
+    bench.ask("f0", 1)
+    bench.exchange()
+    planner = bench.planners[old]
+    assert planner.jobs
+    session = bench.sessions.pop(("f0", old))
+    planner.link_down(session, bench.now)
+    assert not planner.jobs and not planner.gateway.jobs
+    assert all(server.flight == 0 for server in planner.gateway.servers.values())
+    assert len(planner.usable(planner.parts[part_of("c", PARTS)])) == 1
+
+
+def test_a_forwarder_that_stops_in_order_leaves_its_share_for_a_while() -> None:
+    bench = Bench()
+    bench.link_all()
+    old = bench.holder("f0")
+    part = bench.planners[old].parts[part_of("c", PARTS)]
+    bench.forwarders["f0"].stop(bench.now)
+    bench.to_planner("f0", old)
+    for planner in bench.planner_names:
+        session = bench.sessions.pop(("f0", planner))
+        bench.planners[planner].link_down(session, bench.now)
+    bench.run(TERMS.lease + 0.5)
+    assert len(bench.planners[old].usable(part)) == 2
+    bench.run(TERMS.bequest)
+    assert len(bench.planners[old].usable(part)) == 1
+
+
+def test_a_planned_stop_of_a_planner_hands_over_with_nothing_lost() -> None:
+    bench = Bench()
+    bench.link_all()
+    old = bench.holder("f0")
+    bench.ask("f0", 1, "extract")
+    bench.exchange()
+    bench.planners[old].leave(bench.now)
+    bench.exchange()
+    bench.run(0.2)
+    assert bench.planners[old].holds_nothing()
+    assert bench.holder("f0") == other(old)
+    ended(bench, "f0", 1, Outcome.TURNED_AWAY)
+    bench.run(0.1)
+    assert len(bench.sends("f0", 1)) == 2
+
+
+def test_a_drain_told_to_the_planner_reaches_the_forwarder() -> None:
+    bench = Bench()
+    bench.link_all()
+    planner = bench.planners[bench.holder("f0")]
+    planner.list_told(backends("b0", status=Status.DRAINING, kind=ListKind.CHANGES), bench.now)
+    bench.exchange()
+    assert bench.forwarders["f0"].withdrawn == ["b0"]
+
+
+def test_a_cold_backend_gets_its_part_from_two_planners_together() -> None:
+    """Each planner draws by itself; the part kept of draws on a cold one is the same at both."""
+    bench = Bench(planners=2)
+    bench.link_all()
+    listed = backends("cold", "b0", "b1", "b2", "b3", "b4")
+    cold = replace(listed.backends[0], started=bench.now - 0.1)
+    listed = replace(listed, backends=(cold, *listed.backends[1:]))
+    for planner in bench.planners.values():
+        planner.list_told(listed, bench.now)
+    to_cold, number = 0, 0
+    for _ in range(300):
+        for customer in ("c", "d", "e", "f"):
+            number += 1
+            bench.ask("f0", number, customer=customer)
+        bench.exchange()
+        for n in range(number - 3, number + 1):
+            send = bench.sends("f0", n)[0]
+            to_cold += send.backend == "cold"
+            ended(bench, "f0", n, Outcome.SERVED)
+        bench.exchange()
+    assert {bench.holder("f0", c) for c in ("c", "d", "e", "f")} == {"p0", "p1"}
+    assert 10 <= to_cold <= 76  # a warm one gets 200; 3 x 19 % of it is what it can carry: 114
+
+
+def test_a_planner_that_is_added_moves_only_its_part() -> None:
+    few = Bench(planners=2)
+    many = Bench(planners=3)
+    few.link_all()
+    many.link_all()
+    for number in range(PARTS):
+        before = few.forwarders["f0"].parts[number].holder
+        after = many.forwarders["f0"].parts[number].holder
+        assert before is not None and after is not None
+        assert after.name in (before.name, "p2")
+
+
+def test_a_planner_refuses_what_is_over_its_bound() -> None:
+    bench = Bench()
+    bench.link_all()
+    planner = bench.planners[bench.holder("f0")]
+    planner.most_open = 0
+    bench.run(0.2)
+    bench.ask("f0", 1)
+    bench.exchange()
+    assert [type(a).__name__ for a in bench.answers("f0", 1)] == ["Refuse"]
