Two levels: links only among files that agree; a quota's level goes on at a takeover

Members whose forwarders, parts or terms differ are refused at the link, since shares and leases rest on both counting alike. Books count what went beyond the quotas.

--- a/benchmarks/closed_loop.py
+++ b/benchmarks/closed_loop.py
@@ -12,7 +12,7 @@
 
 
 class Asker(asyncio.Protocol):
-    """One connection. Only the end of each answer is looked for: the load must cost less than what it loads."""
+    """One connection. It looks for no more than an answer's end: the load must cost less than its target."""
 
     def __init__(self, load: ClosedLoop, number: int) -> None:
         self.load, self.number, self.count = load, number, 0
--- a/benchmarks/planner_load.py
+++ b/benchmarks/planner_load.py
@@ -15,7 +15,8 @@
 
 from embersill.tiers.links import ForwarderLine, ForwarderLink
 from embersill.tiers.messages import AnyMessage, Ask, Batch, Beat, Echo, Ended, Grant, Lend
-from embersill.tiers.wire import Secret
+from embersill.tiers.terms import Terms
+from embersill.tiers.wire import Secret, digest
 
 CUSTOMERS = 1000
 
@@ -23,8 +24,10 @@
 class Load:
     """One named forwarder that lends all parts to one planner and keeps so many requests open there."""
 
-    def __init__(self, name: str, planner: str, port: int, secret: bytes, parts: int, most_open: int) -> None:
-        self.name, self.secret, self.parts, self.most_open = name, Secret(secret), parts, most_open
+    def __init__(self, name: str, names: list[str], planner: str, port: int, secret: bytes, parts: int,
+                 most_open: int) -> None:
+        self.name, self.parts, self.most_open = name, parts, most_open
+        self.secret = Secret(secret, digest(names, parts, Terms()))
         self.most_frame, self.most_unsent = 1 << 20, 64 << 20
         self.loop = asyncio.get_running_loop()
         self.clock = time.monotonic
@@ -63,9 +66,10 @@
 
 
 async def main() -> None:
-    port, planner, secret, names, seconds = sys.argv[1:6]
+    port, planner, secret, named, seconds = sys.argv[1:6]
+    names = named.split(",")
     key = Path(secret).read_bytes().strip()
-    loads = [Load(name, planner, int(port), key, 64, 64) for name in names.split(",")]
+    loads = [Load(name, names, planner, int(port), key, 64, 64) for name in names]
     await asyncio.sleep(1.0)
     before, began = sum(load.decided for load in loads), time.monotonic()
     print("began", flush=True)
--- a/benchmarks/tiers.py
+++ b/benchmarks/tiers.py
@@ -50,6 +50,8 @@
         "tries": told["troubled"]["tries"], **figures,
         "served_share": round(shares["troubled"], 4), "served_share_calm": round(shares["calm"], 4),
         "served_share_vs_calm": round(shares["troubled"] / shares["calm"], 4),
+        "beyond_quota_share": told["troubled"]["beyond_quota_share"],
+        "beyond_quota_share_calm": told["calm"]["beyond_quota_share"],
         "planner_kills": told["troubled"].get("planner_kills", 0),
         "planner_pauses": told["troubled"].get("planner_pauses", 0),
         "p99_ms": told["troubled"]["p99_ms"], "p99_ms_calm": told["calm"]["p99_ms"],
@@ -184,7 +186,7 @@
 
 def main() -> int:
     parser = argparse.ArgumentParser(prog="python -m benchmarks.tiers", description=__doc__)
-    parser.add_argument("--seconds", type=float, default=60.0, help="of the trouble; the rest is scaled to it")
+    parser.add_argument("--seconds", type=float, default=60.0, help="of the trouble; the rest in proportion")
     parser.add_argument("--rate", type=float, default=250.0, help="tries a second")
     parser.add_argument("--only", default="", help="some of trouble,cost,planners,shift")
     figures = uvloop.run(run(parser.parse_args()))
--- a/embersill/lab/books.py
+++ b/embersill/lab/books.py
@@ -61,6 +61,7 @@
         self.counts: Counter[str] = Counter()
         self.latencies: list[float] = []
         self.ceiling_lowest = 0.0
+        self.units = self.beyond_quota = 0.0  # of plans with a quota: sent on, and of them beyond it
         self.breaches: list[str] = []
 
     def breach(self, rule: str, text: str) -> None:
@@ -140,7 +141,11 @@
     def first(self, asked: Asked, now: float) -> None:
         plan = self.plans[asked.plan]
         if plan.rate > 0:
-            self.quota(asked, plan, now).take(asked.units, now)
+            self.units += asked.units
+            quota = self.quota(asked, plan, now)
+            if quota.take(asked.units, now) < 0:  # beyond the quota, whose debt does not add up
+                self.beyond_quota -= quota.level
+                quota.level = 0.0
         if plan.ceiling_rate > 0:
             ceiling = self.ceilings.setdefault(
                 asked.customer, Level(plan.ceiling_depth, plan.ceiling_rate, plan.ceiling_depth, now))
@@ -161,5 +166,6 @@
         ordered = sorted(self.latencies)
         for name, part in (("median_ms", 0.5), ("p99_ms", 0.99)):
             told[name] = round(1000 * ordered[int(part * (len(ordered) - 1))], 2) if ordered else 0.0
+        told["beyond_quota_share"] = round(self.beyond_quota / max(self.units, 1.0), 4)
         told["ceiling_lowest"] = round(self.ceiling_lowest, 2)
         return told
--- a/embersill/tiers/planner.py
+++ b/embersill/tiers/planner.py
@@ -369,7 +369,8 @@
         horizon = horizon_of(plan)
         span = min(horizon, max(self.known_span(part), 0.0))
         cap = replay(plan.ceiling_depth, plan.ceiling_rate, span, 0.0, spends)
-        level = replay(plan.burst, plan.rate, horizon, plan.burst, spends)
+        # a quota is soft: what may have been spent before anyone remembers is not held against it
+        level = replay(plan.burst, plan.rate, span, 0.0 if span >= horizon else plan.burst, spends)
         return cap, level
 
     def allot_new(self, part: Part, customer: str, plan_name: str) -> None:
--- a/embersill/tiers/roles.py
+++ b/embersill/tiers/roles.py
@@ -19,7 +19,7 @@
 from embersill.tiers.forwarder import Forwarder
 from embersill.tiers.links import ForwarderLinks, PlannerServer
 from embersill.tiers.planner import Planner
-from embersill.tiers.wire import Secret
+from embersill.tiers.wire import Secret, digest
 
 LINKED_WITHIN = 0.5  # seconds that a forwarder waits for a planner before it is ready without one
 HANDED_OVER = 2.0  # seconds for forwarders to lend their parts elsewhere when a planner stops
@@ -39,6 +39,10 @@
         loop.call_later(seconds, report)
 
 
+def secret_of(tiers: Tiers) -> Secret:
+    return Secret(tiers.secret, digest(tiers.forwarders, tiers.parts, tiers.terms))
+
+
 class ForwarderProgram(Program):
     """A gateway's sockets, with a forwarder in place of the module."""
 
@@ -48,7 +52,7 @@
             told.settings, told.seed, clock(), forwarders=len(tiers.forwarders), planners=tiers.planners,
             parts=tiers.parts, terms=tiers.terms, most_customers=tiers.most_customers)
         self.links = ForwarderLinks(
-            core, clock, Secret(tiers.secret), told.name, tiers.planners,
+            core, clock, secret_of(tiers), told.name, tiers.planners,
             most_frame=tiers.most_frame, most_unsent=tiers.most_unsent)
         self.status_every = tiers.status_every
         super().__init__(told, clock, self.links)
@@ -82,7 +86,7 @@
             planners=len(tiers.planners), parts=tiers.parts, terms=tiers.terms,
             most_customers=tiers.most_customers, most_open=tiers.most_open)
         self.server = PlannerServer(
-            self.core, self.clock, Secret(tiers.secret), told.name, most_frame=tiers.most_frame,
+            self.core, self.clock, secret_of(tiers), told.name, most_frame=tiers.most_frame,
             most_unsent=tiers.most_unsent)
         self.address = tiers.planners[told.name]
         self.status_every = tiers.status_every
--- a/embersill/tiers/wire.py
+++ b/embersill/tiers/wire.py
@@ -13,13 +13,15 @@
 
 from __future__ import annotations
 
+import hashlib
 import hmac
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
 import msgspec
 
 from embersill.tiers.messages import MOST_TEXT, VERSION, BadFrame, Batch, encoder, read_batch
+from embersill.tiers.terms import Terms
 
 MAGIC = "embersill-tiers"
 NONCE = 32  # bytes
@@ -32,6 +34,7 @@
     name: str
     incarnation: str
     nonce: bytes
+    deployment: str  # digest of what both ends' files must say alike
 
 
 class Proof(msgspec.Struct, array_like=True, frozen=True, tag="proof"):
@@ -39,6 +42,7 @@
     version: int
     name: str
     nonce: bytes
+    deployment: str
     mac: bytes
 
 
@@ -56,11 +60,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Secret:
+    """What a member has to know: the shared key, and the deployment's digest, which is no secret."""
+
     key: bytes
+    deployment: str = ""
 
-    def mac(self, role: str, challenge: Challenge, name: str, nonce: bytes) -> bytes:
+    def mac(self, role: str, challenge: Challenge, name: str, nonce: bytes, deployment: str = "") -> bytes:
         said = msgspec.msgpack.encode([
-            MAGIC, VERSION, role, challenge.name, challenge.incarnation, challenge.nonce, name, nonce])
+            MAGIC, VERSION, role, challenge.name, challenge.incarnation, challenge.nonce,
+            challenge.deployment, name, nonce, deployment])
         return hmac.digest(self.key, said, "sha256")
 
 
@@ -74,6 +82,12 @@
     raise Stranger("no handshake of this protocol")
 
 
+def digest(forwarders: Iterable[str], parts: int, terms: Terms) -> str:
+    """Shares and leases hold only among members that count them alike; planners may come and go."""
+    said = msgspec.msgpack.encode([sorted(forwarders), parts, terms])
+    return hashlib.blake2b(said, digest_size=8).hexdigest()
+
+
 def check_form(said: Challenge | Proof) -> None:
     if said.magic != MAGIC:
         raise Stranger("no handshake of this protocol")
@@ -137,7 +151,7 @@
 
     def __init__(self, secret: Secret, name: str, incarnation: str, nonce: bytes) -> None:
         self.secret = secret
-        self.said = Challenge(MAGIC, VERSION, name, incarnation, nonce)
+        self.said = Challenge(MAGIC, VERSION, name, incarnation, nonce, secret.deployment)
 
     def challenge(self) -> bytes:
         return framed(msgspec.msgpack.encode(self.said))
@@ -148,9 +162,11 @@
         assert isinstance(proof, Proof)
         check_form(proof)
         # the proof before the name: who does not know the secret learns nothing of who is known
-        mac = self.secret.mac("forwarder", self.said, proof.name, proof.nonce)
+        mac = self.secret.mac("forwarder", self.said, proof.name, proof.nonce, proof.deployment)
         if not hmac.compare_digest(mac, proof.mac):
             raise Stranger("a wrong secret")
+        if proof.deployment != self.secret.deployment:
+            raise Stranger("the operator files differ in forwarders, parts or terms")
         if proof.name not in known:
             raise Stranger(f"no forwarder {proof.name!r} in the operator file")
         welcome = Welcome(self.secret.mac("planner", self.said, proof.name, proof.nonce))
@@ -173,8 +189,9 @@
             if said.name != self.planner:
                 raise Stranger(f"planner {said.name!r} where {self.planner!r} should be")
             self.challenge = said
-            mac = self.secret.mac("forwarder", said, self.name, self.nonce)
-            return framed(msgspec.msgpack.encode(Proof(MAGIC, VERSION, self.name, self.nonce, mac)))
+            mac = self.secret.mac("forwarder", said, self.name, self.nonce, self.secret.deployment)
+            proof = Proof(MAGIC, VERSION, self.name, self.nonce, self.secret.deployment, mac)
+            return framed(msgspec.msgpack.encode(proof))
         answer = read_handshake(frame, Welcome, Turned)
         if isinstance(answer, Turned):
             raise Stranger(f"turned away: {answer.reason[:MOST_TEXT]}")
--- a/tests/tiers/test_wire.py
+++ b/tests/tiers/test_wire.py
@@ -8,9 +8,10 @@
 from hypothesis import strategies as st
 
 from embersill.tiers.messages import Ask, BadFrame, Batch, Beat, Grant, encoder, read_batch
+from embersill.tiers.terms import Terms
 from embersill.tiers.wire import (
-    MAGIC, Challenge, ForwarderSide, FrameReader, Numbers, PlannerSide, Proof, Secret, Stranger, framed, pack,
-    turned,
+    MAGIC, Challenge, ForwarderSide, FrameReader, Numbers, PlannerSide, Proof, Secret, Stranger, digest,
+    framed, pack, turned,
 )
 
 KNOWN = frozenset({"f1"})
@@ -71,13 +72,26 @@
         forwarder.read(unframed(planner.challenge()))
 
 
+def test_files_that_differ_in_what_the_rules_rest_on_do_not_link() -> None:
+    same = digest(["f1", "f2"], 64, Terms())
+    assert digest(["f2", "f1"], 64, Terms()) == same
+    for other in (digest(["f1"], 64, Terms()), digest(["f1", "f2"], 32, Terms()),
+                  digest(["f1", "f2"], 64, Terms(lease=1.0))):
+        planner = PlannerSide(Secret(b"k" * 32, same), "p1", "life", b"n" * 32)
+        forwarder = ForwarderSide(Secret(b"k" * 32, other), "f1", "p1", b"m" * 32)
+        proof = forwarder.read(unframed(planner.challenge()))
+        assert proof is not None
+        with pytest.raises(Stranger, match="the operator files differ"):
+            planner.check(unframed(proof), KNOWN)
+
+
 def test_another_version_is_named() -> None:
     _, forwarder = sides()
     with pytest.raises(Stranger, match="version 99 where 1"):
-        forwarder.read(msgspec.msgpack.encode(Challenge(MAGIC, 99, "p1", "life", b"n" * 32)))
+        forwarder.read(msgspec.msgpack.encode(Challenge(MAGIC, 99, "p1", "life", b"n" * 32, "")))
     planner, _ = sides()
     with pytest.raises(Stranger, match="version 99 where 1"):
-        planner.check(msgspec.msgpack.encode(Proof(MAGIC, 99, "f1", b"m" * 32, b"")), KNOWN)
+        planner.check(msgspec.msgpack.encode(Proof(MAGIC, 99, "f1", b"m" * 32, "", b"")), KNOWN)
 
 
 @settings(derandomize=True, max_examples=300, deadline=None)
