gRPC rate limits: the gateway answers questions and asks services, on the same throttles

Need: at month's end quota questions come from, or go to, other programs that speak the gRPC rate limit service.

At a planner what questions take is remembered by a forwarder, as what it sent itself. operated.py puts together what an operator file describes. Imported only when switched on.

--- a/embersill/__main__.py
+++ b/embersill/__main__.py
@@ -25,9 +25,9 @@
 async def serve(told: Configuration, operator: str) -> None:
     if not operator:
         return await Program(told).run()
-    # imported here: without an operator file nothing of the two levels or their libraries is loaded
-    from embersill.tiers.roles import run_role
-    return await run_role(told, operator)
+    # imported here: without an operator file nothing of what it describes, nor a library for it, is loaded
+    from embersill.operated import run_operated
+    return await run_operated(told, operator)
 
 
 def main() -> int:
--- a/embersill/configuration/operator.py
+++ b/embersill/configuration/operator.py
@@ -14,6 +14,7 @@
 
 from embersill.configuration.platform import BadConfiguration
 from embersill.net.discovery import read_address
+from embersill.ratelimit.settings import RateLimitTable, check_ratelimit
 from embersill.tiers.terms import Terms, check_terms
 
 LEAST_SECRET = 16  # bytes
@@ -38,6 +39,7 @@
 class OperatorTable(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     role: Literal["gateway", "forwarder", "planner"] = "gateway"
     tiers: TiersTable | None = None
+    ratelimit: RateLimitTable | None = None
 
 
 class Tiers(msgspec.Struct, frozen=True):
@@ -58,6 +60,7 @@
 class Operator(msgspec.Struct, frozen=True):
     role: Literal["gateway", "forwarder", "planner"]
     tiers: Tiers | None
+    ratelimit: RateLimitTable | None
 
 
 def read_operator(path: str) -> Operator:
@@ -65,13 +68,27 @@
     try:
         table = msgspec.convert(tomllib.loads(Path(path).read_text(encoding="utf-8")), OperatorTable)
         tiers = None if table.tiers is None else check_tiers(table.tiers, Path(path).parent)
+        if table.ratelimit is not None:
+            check_ratelimit(table.ratelimit)
+            check_role(table.role, table.ratelimit)
         if table.role != "gateway" and tiers is None:
             raise ValueError(f"role {table.role} needs the table tiers")
     except OSError as error:
         raise BadConfiguration(f"{error.filename or path}: {error.strerror}") from error
     except (msgspec.ValidationError, ValueError) as error:  # a TOML error is a ValueError too
         raise BadConfiguration(f"{path}: {' '.join(str(error).split())}") from error
-    return Operator(table.role, tiers)
+    return Operator(table.role, tiers, table.ratelimit)
+
+
+def check_role(role: str, table: RateLimitTable) -> None:
+    if role == "forwarder":
+        raise ValueError("ratelimit: a forwarder decides nothing; it belongs to gateways and planners")
+    if role == "planner" and table.answer is not None:
+        for number, rule in enumerate(table.answer.rules):
+            if rule.override == "apply":  # its throttles are no customer's, so no part's either
+                raise ValueError(f"ratelimit.answer.rules[{number}].override: not at a planner")
+            if rule.spread not in (0, 1):
+                raise ValueError(f"ratelimit.answer.rules[{number}].spread: not at a planner")
 
 
 def check_tiers(table: TiersTable, folder: Path) -> Tiers:
--- a/embersill/control.py
+++ b/embersill/control.py
@@ -9,8 +9,8 @@
 
 from embersill.interface import (
     Action, Allotted, AttemptEnded, Backend, BackendList, Cancel, ClientLeft, Count, Counted, Event, Fail,
-    Inherited, ListKind, Outcome, Plan, Refuse, Repeats, Request, RequestClass, Scope, Send, SetTimer,
-    Settings, Status, StreamBegun, Subscribe, TimerDue,
+    Inherited, ListKind, Outcome, Plan, Question, Refuse, Repeats, Request, RequestClass, Ruled, Scope, Send,
+    SetTimer, Settings, Status, StreamBegun, Subscribe, Take, TimerDue, Verdict,
 )
 from embersill.throttle import EPS, PERIOD, Throttle
 from embersill.work import LEAST_LIMIT, START_LIMIT, Attempt, Job, Server
@@ -100,6 +100,10 @@
             self.allotted(event)
         elif isinstance(event, Inherited):
             self.inherited(event)
+        elif isinstance(event, Question):
+            self.question(event)
+        elif isinstance(event, Ruled):
+            self.ruled(event)
         return self.actions
 
 
@@ -228,6 +232,54 @@
         job.risky = next((a for a in job.attempts if not a.unrun), None)
         return None if job.out else self.after_failure(job, last)
 
+    def question(self, event: Question) -> None:
+        """Grants another program's question from the throttles that requests use, whole or not at all.
+
+        It is decided at once: nothing waits in the buffer for it, and it does not overtake what waits there.
+        """
+        wanted: dict[str, float] = {}  # a customer may stand in it twice
+        asked: list[tuple[Take, Throttle, bool]] = []
+        for take in event.takes:
+            throttle = self.throttles.get(take.customer) or self.join(take.customer, take.width, take.plan)
+            if throttle.thin and self.now >= throttle.read_until and throttle.share == 1.0:
+                throttle.set_share(1.0 / throttle.width, self.now)
+            throttle.refill(self.now)
+            throttle.note_demand(take.units, self.now)
+            if not throttle.thin:
+                self.start_counting(throttle)
+            before = wanted.get(take.customer, 0.0)
+            most = max(throttle.bank, self.settings.most_units)  # no request takes more, nor may a question
+            free = take.units <= 0 or (not throttle.queue and take.units <= most)
+            granted = take.settles or (free and throttle.wait(take.units, before) <= 0)
+            asked.append((take, throttle, granted))
+            if granted or take.shadow:
+                wanted[take.customer] = before + take.units
+        whole = all(granted or take.shadow for take, _, granted in asked)
+        for take, throttle, granted in asked if whole else ():
+            if take.shadow and not granted:
+                continue  # it would have been refused: a shadow counts what it would have let through
+            throttle.level -= take.units if throttle.plan.rate > 0 else 0.0
+            if not take.settles:
+                throttle.cap -= take.units if throttle.plan.ceiling_rate > 0 else 0.0
+            if throttle.thin and take.units > 0:
+                self.tell_soon(throttle, take.units)
+        states = tuple(throttle.state(take.units, granted) for take, throttle, granted in asked)
+        self.actions.append(Verdict(event.id, whole, states))
+
+    def ruled(self, event: Ruled) -> None:
+        """Places a request whose quota another service has granted, or refuses it by that service's word."""
+        request = event.request
+        klass, plan = self.classes.get(request.klass), self.plans.get(request.plan)
+        if request.id in self.jobs:
+            return None
+        if klass is None or plan is None or request.deadline <= self.now:
+            return self.actions.append(Refuse(request.id, 0.0))
+        throttle = self.throttles.get(request.customer) or self.join(request.customer, request.width, plan)
+        throttle.refill(self.now)
+        self.jobs[request.id] = job = Job(request, klass, throttle, self.now)
+        job.beyond = True  # nothing is charged here, so nothing is given back or settled
+        return self.place(job) if event.allowed else self.answer(job, event.retry_after)
+
     def count_out(self, job: Job, attempt: Attempt) -> None:
         attempt.server.flight += 1
         self.flight += 1
--- a/embersill/interface.py
+++ b/embersill/interface.py
@@ -211,9 +211,38 @@
     attempts: tuple[tuple[str, float, Outcome | None], ...]
 
 
+@dataclass(frozen=True, slots=True)
+class Take:
+    """Units that a question asks for from one customer's throttle."""
+
+    customer: str
+    plan: Plan
+    units: float  # nought only looks
+    width: int  # gateways over which the customer's requests are spread, as in a Request
+    shadow: bool = False  # counted, and never a reason to refuse
+    settles: bool = False  # has been used already: taken in any case, also below nought
+
+
+@dataclass(frozen=True, slots=True)
+class Question:
+    """Another program asks whether something may use units; all of it is granted or nothing is taken."""
+
+    id: int
+    takes: tuple[Take, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Ruled:
+    """A request whose quota another service has ruled on: it is not charged here, but its ceiling holds."""
+
+    request: Request
+    allowed: bool
+    retry_after: float
+
+
 Event = (
     Request | BackendList | ClientLeft | StreamBegun | AttemptEnded | Counted | Probed | TimerDue | Allotted
-    | Inherited
+    | Inherited | Question | Ruled
 )
 
 
@@ -267,4 +296,23 @@
     """Ask discovery for the list and its changes from now on."""
 
 
-Action = Send | Refuse | Fail | Cancel | SetTimer | Count | Subscribe
+@dataclass(frozen=True, slots=True)
+class LimitState:
+    """One take's part of a verdict, as the throttle is after it."""
+
+    granted: bool
+    remaining: float  # units that could be taken at once
+    wait: float  # seconds until this take could be granted; nought if it was
+    full_in: float  # seconds until all of the burst is there again, with no use
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """The answer to a question, with a state for each of its takes."""
+
+    question: int
+    granted: bool
+    states: tuple[LimitState, ...]
+
+
+Action = Verdict | Send | Refuse | Fail | Cancel | SetTimer | Count | Subscribe
--- a/embersill/lab/deployment.py
+++ b/embersill/lab/deployment.py
@@ -42,6 +42,7 @@
     plans: tuple[str, ...] = ("basis", "pro", "free")
     settings: dict[str, Any] | None = None
     status_every: float = 0.5
+    operator: str = ""  # further tables of the operator file, for whoever decides
 
 
 class Member:
@@ -168,7 +169,8 @@
         lines = [f'role = "{role}"', "[tiers]", f"forwarders = {json.dumps(forwarders)}",
                  'secret_file = "secret"',
                  f"status_every = {self.shape.status_every}", "[tiers.planners]"]
-        return "\n".join([*lines, *(f'{n} = "{HOST}:{port}"' for n, port in planners.items())]) + "\n"
+        text = "\n".join([*lines, *(f'{n} = "{HOST}:{port}"' for n, port in planners.items())]) + "\n"
+        return text + self.shape.operator if role == "planner" else text
 
     def add(self, name: str, role: str, port: int) -> None:
         folder = Path(self.folder.name)
@@ -181,7 +183,9 @@
         path = folder / f"{name}.json"
         path.write_text(json.dumps(told))
         command = [sys.executable, "-m", "embersill"]
-        if role != "gateway":
+        if role == "gateway" and self.shape.operator:
+            (folder / "gateway.toml").write_text(self.shape.operator)
+        if role != "gateway" or self.shape.operator:
             command += ["--operator", str(folder / f"{role}.toml")]
         kept = {k: v for k, v in os.environ.items() if not k.startswith(("RELAY_", "EMBERSILL_"))}
         self.members[name] = Member(name, role, command, {**kept, "RELAY_CONFIG": str(path)})
--- a/embersill/roles.py
+++ b/embersill/roles.py
@@ -41,22 +41,22 @@
     """The parts of one gateway, from start to stop."""
 
     def __init__(self, told: Configuration, clock: Callable[[], float] | None = None,
-                 decider: Decider | None = None) -> None:
-        """With no `decider` the module decides here, and the platform's counter tells of other gateways."""
+                 decider: Decider | None = None, counts: bool = False) -> None:
+        """With no `decider` the module decides here. With one, `counts` says if it uses the counter."""
         clock = clock or start_clock()
         self.loop = asyncio.get_running_loop()
         free = told.sockets - min(RESERVE, int(told.sockets * RESERVE_PART))
         clients = int(free * CLIENTS_PART)
         self.pool = Pool(clock, told.limits.dial_timeout, told.limits.keepalive, free - clients)
         self.driver = Driver(decider or Gateway(told.settings, told.seed, clock()), clock, self.pool)
-        if told.counter is not None and decider is None:
+        if told.counter is not None and (counts or decider is None):
             self.driver.counter = Counter(
                 clock, told.counter, told.settings.counter_patience, told.limits.dial_timeout,
                 self.driver.counter_told)
         self.driver.list_told(told.known)
         self.discovery = Discovery(told.discovery, told.limits.dial_timeout, self.driver.list_told)
         self.front = Front(self.driver, told.settings, clock, clients, self.serves)
-        self.listen = told.listen
+        self.listen, self.settings = told.listen, told.settings
         self.filed = told.discovery_filed, told.counter
         self.settled = False  # the list is discovery's own, or as good as can be had
 
--- a/embersill/throttle.py
+++ b/embersill/throttle.py
@@ -4,7 +4,7 @@
 
 from collections import deque
 
-from embersill.interface import Allotted, Plan
+from embersill.interface import Allotted, LimitState, Plan
 from embersill.work import Job
 
 PERIOD = 1.0  # seconds a demand count covers; the design's own, and short against a client's patience
@@ -59,16 +59,27 @@
         if part.level is not None:
             self.level = min(part.level, self.bank) - self.held
 
-    def wait(self, units: float) -> float:
-        """Seconds until the head of the buffer, or a newcomer to an empty one, may leave."""
+    def wait(self, units: float, taken: float = 0.0) -> float:
+        """Seconds until the head of the buffer, or a newcomer to an empty one, may leave.
+
+        `taken` is what others are about to take first.
+        """
         wait = 0.0
-        short = min(units, self.bank) - (self.level + self.held)
+        short = min(units, self.bank) - (self.level + self.held - taken)
         if self.plan.rate > 0 and short > EPS:
             wait = short / self.rate
-        if self.plan.ceiling_rate > 0 and units - self.cap > EPS:
-            wait = max(wait, (units - self.cap) / self.cap_rate)
+        if self.plan.ceiling_rate > 0 and units + taken - self.cap > EPS:
+            wait = max(wait, (units + taken - self.cap) / self.cap_rate)
         return wait
 
+    def state(self, units: float, granted: bool) -> LimitState:
+        """What a question is told of this throttle; what is held in the buffer is not there to be taken."""
+        left, short = max(self.level, 0.0), self.bank - self.level
+        if self.plan.ceiling_rate > 0:
+            left = min(left, max(self.cap, 0.0)) if self.plan.rate > 0 else max(self.cap, 0.0)
+        full_in = short / self.rate if self.plan.rate > 0 and short > EPS else 0.0
+        return LimitState(granted, left, 0.0 if granted else max(self.wait(units), EPS), full_in)
+
     def has_open(self) -> bool:
         return self.plan.concurrency <= 0 or self.open < max(1, self.plan.concurrency // self.width)
 
--- a/embersill/tiers/forwarder.py
+++ b/embersill/tiers/forwarder.py
@@ -21,7 +21,7 @@
 from embersill.tiers.ledger import Ledger
 from embersill.tiers.messages import (
     AnyMessage, Ask, Batch, Beat, Bequeath, Cancelled, Echo, Ended, Failed, Grant, Leaving, Left, Lend, Open,
-    Recall, Refused, Returned, Spent, Withdrawn,
+    Recall, Refused, Returned, Spent, Taken, Withdrawn,
 )
 from embersill.tiers.parts import part_of, ranking
 from embersill.tiers.terms import Terms
@@ -324,6 +324,8 @@
                 self.returned(link, message.token)
             elif isinstance(message, Withdrawn):
                 self.withdrawn.extend(message.backends)
+            elif isinstance(message, Taken):
+                self.ledger.spent(message.customer, message.plan, message.units, self.now)
             elif isinstance(message, Leaving):
                 link.leaving = True
                 self.review()
--- a/embersill/tiers/messages.py
+++ b/embersill/tiers/messages.py
@@ -147,9 +147,17 @@
     """Forwarder to planner: it stops with nothing open; what it lent may be spent until the bequest's end."""
 
 
+class Taken(Message, frozen=True, tag=18):
+    """Planner to forwarder: units that were granted to another program's question, to be remembered."""
+
+    customer: str
+    plan: str
+    units: float
+
+
 AnyMessage = (
     Beat | Echo | Spent | Lend | Recall | Returned | Bequeath | Ask | Open | Ended | Left | Grant | Refused
-    | Failed | Cancelled | Withdrawn | Leaving
+    | Failed | Cancelled | Withdrawn | Leaving | Taken
 )
 
 
--- a/embersill/tiers/planner.py
+++ b/embersill/tiers/planner.py
@@ -16,12 +16,12 @@
 from embersill.control import Gateway
 from embersill.interface import (
     Action, Allotted, AttemptEnded, BackendList, Cancel, ClientLeft, Event, Fail, Inherited, Outcome, Plan,
-    Refuse, Request, Send, SetTimer, Settings, Status, TimerDue,
+    Question, Refuse, Request, Send, SetTimer, Settings, Status, TimerDue, Verdict,
 )
 from embersill.tiers.ledger import Ledger, horizon_of, replay
 from embersill.tiers.messages import (
     AnyMessage, Ask, BadFrame, Batch, Beat, Bequeath, Cancelled, Echo, Ended, Failed, Grant, Leaving, Left,
-    Lend, Open, Recall, Refused, Returned, Spent, Withdrawn,
+    Lend, Open, Recall, Refused, Returned, Spent, Taken, Withdrawn,
 )
 from embersill.tiers.parts import part_of
 from embersill.tiers.terms import DRIFT, Terms
@@ -242,6 +242,41 @@
             number, ended.attempt, ended.backend, outcome, ended.elapsed, ended.over, units, ()))
         self.forget(number)
 
+    def question(self, question: Question, now: float) -> Verdict | None:
+        """Decides another program's question; None where a customer's part is not led here.
+
+        What it takes of a ceiling is told to one forwarder, which remembers it like what it sent on itself.
+        """
+        self.advance(now)
+        lenders: list[Lender] = []
+        for take in question.takes:
+            part = self.parts[part_of(take.customer, len(self.parts))]
+            linked = [part.lenders[name] for name in sorted(part.lenders) if name in self.sessions]
+            if not linked or (not part.whole and self.now < part.taken_at + self.terms.gather):
+                return None
+            lenders.append(linked[0])
+            self.allot_new(part, take.customer, take.plan.name)
+        question = replace(question, takes=tuple(replace(take, width=1) for take in question.takes))
+        verdict: Verdict | None = None
+        for action in self.gateway.handle(question, self.now):
+            if isinstance(action, Verdict):
+                verdict = action
+            else:
+                self.act(action)
+        assert verdict is not None
+        if verdict.granted:
+            for take, state, lender in zip(question.takes, verdict.states, lenders, strict=True):
+                if state.granted and take.units > 0:
+                    self.ledger.spent(take.customer, take.plan.name, take.units, self.now)
+                    lender.session.outbox.append(Taken(take.customer, take.plan.name, take.units))
+        return verdict
+
+    def perform(self, actions: Iterable[Action], now: float) -> None:
+        """Decisions on requests that came later than their events, as those that wait for a service do."""
+        self.advance(now)
+        for action in actions:
+            self.act(action)
+
     def drop(self, number: int) -> None:
         """The request is no longer decided here: nothing is said of it any more, and nothing expected."""
         job = self.jobs.pop(number, None)
--- a/embersill/tiers/roles.py
+++ b/embersill/tiers/roles.py
@@ -1,4 +1,4 @@
-"""The processes of the two levels, put together: a forwarder's, a planner's, and the choice among them."""
+"""The processes of the two levels, put together: a forwarder's and a planner's."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from embersill.configuration.operator import Tiers, read_operator
+from embersill.configuration.operator import Tiers
 from embersill.configuration.platform import BadConfiguration, Configuration, read_configuration
 from embersill.interface import BackendList, Status
 from embersill.net.discovery import Discovery, Listing
@@ -90,6 +90,7 @@
             most_unsent=tiers.most_unsent)
         self.address = tiers.planners[told.name]
         self.status_every = tiers.status_every
+        self.settings = told.settings
         self.places: dict[str, tuple[str, int]] = {}
         self.filed = told.discovery_filed
         self.list_told(told.known)
@@ -155,18 +156,3 @@
         gc.freeze()
         await stop.wait()
         await self.stop()
-
-
-async def run_role(told: Configuration, path: str) -> None:
-    """Runs the role that the operator file gives this process, to its end."""
-    operator = read_operator(path)
-    if operator.role == "gateway" or operator.tiers is None:
-        return await Program(told).run()
-    if operator.role == "planner":
-        program: PlannerProgram | ForwarderProgram = PlannerProgram(told, operator.tiers)
-    else:
-        if told.name not in operator.tiers.forwarders:
-            raise BadConfiguration(
-                f"{path}: tiers.forwarders: this forwarder, {json.dumps(told.name)}, is not among them")
-        program = ForwarderProgram(told, operator.tiers)
-    return await program.run()
--- a/tests/configuration/test_operator.py
+++ b/tests/configuration/test_operator.py
@@ -87,7 +87,8 @@
 
 def test_without_an_operator_file_no_new_library_is_loaded() -> None:
     code = ("import sys; from embersill import __main__, adapter; import embersill.roles; "
-            "print(sorted(m for m in sys.modules if m.partition('.')[0] in ('msgspec', 'rich') "
-            "or m.startswith(('embersill.tiers', 'embersill.lab', 'embersill.configuration.operator'))))")
+            "print(sorted(m for m in sys.modules if m.partition('.')[0] in ('msgspec', 'rich', 'grpc') "
+            "or m.startswith(('embersill.tiers', 'embersill.lab', 'embersill.ratelimit', "
+            "'embersill.configuration.operator'))))")
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, text=True, capture_output=True, check=True)
     assert done.stdout.strip() == "[]"
