The ordinary path: deadlines in slots, one timer a class for late attempts, fewer calls

Seen by counts and profile: a request set three timers of the loop, of which two were cancelled and the third fired for an attempt that had ended; 139 calls of Python functions, a fifth of them in choosing a backend.

The module watches for late attempts with one timer a class, which skips those that ended. Warm backends, lone attempts and empty tables are short-cut; events go by a table; each connection keeps its poll object. At a planner a late look after a pause is put off instead of left out.

--- a/embersill/control.py
+++ b/embersill/control.py
@@ -6,6 +6,7 @@
 import random
 import zlib
 from collections import deque
+from collections.abc import Callable
 
 from embersill.interface import (
     Action, Allotted, AttemptEnded, Backend, BackendList, Cancel, ClientLeft, Count, Counted, Event, Fail,
@@ -70,42 +71,36 @@
         self.throttles: dict[str, Throttle] = {}
         self.sweep: deque[str] = deque()
         self.usual: dict[tuple[str, float], float] = {}
+        # attempts by when they are late, by class: each class's timer is set while there are any
+        self.late: dict[str, deque[tuple[float, Attempt]]] = {c.name: deque() for c in settings.classes}
         self.fleet_fails, self.retry_credit = 0.0, RETRY_STORE
         self.passed, self.judged = 1.0, now
         self.flight, self.limit = 0, float("inf")  # attempts out and not late, and how many may be
         self.quiet_until, self.count_fails = now, 0
         self.shortest = settings.counter_patience  # seconds of the counter's shortest answer
         self.counted_part = min(1.0, COUNTED_GATEWAYS / settings.gateways)
+        self.handlers: dict[type, Callable[..., None]] = {
+            Request: self.arrive, AttemptEnded: self.attempt_ended, TimerDue: self.timer_due,
+            Counted: self.counted, BackendList: self.list_changed, ClientLeft: self.client_left,
+            StreamBegun: self.stream_begun, Allotted: self.allotted, Inherited: self.inherited,
+            Question: self.question, Ruled: self.ruled,
+        }
         # part of the counted thin requests that had the credit, by plan and whether the slice covered them
         self.granted = {(p.name, sure): float(sure) for p in settings.plans for sure in (False, True)}
 
     def handle(self, event: Event, now: float) -> list[Action]:
-        self.now = max(self.now, now)
+        if now > self.now:
+            self.now = now
         self.actions = []
-        if isinstance(event, Request):
-            self.arrive(event)
-        elif isinstance(event, AttemptEnded):
-            self.attempt_ended(event)
-        elif isinstance(event, TimerDue):
-            self.timer_due(event.key)
-        elif isinstance(event, Counted):
-            self.counted(event)
-        elif isinstance(event, BackendList):
-            self.list_changed(event)
-        elif isinstance(event, ClientLeft):
-            self.client_left(event.request)
-        elif isinstance(event, StreamBegun) and event.request in self.jobs:
-            self.jobs[event.request].streaming = True
-        elif isinstance(event, Allotted):
-            self.allotted(event)
-        elif isinstance(event, Inherited):
-            self.inherited(event)
-        elif isinstance(event, Question):
-            self.question(event)
-        elif isinstance(event, Ruled):
-            self.ruled(event)
+        handler = self.handlers.get(type(event))
+        if handler is not None:
+            handler(event)
         return self.actions
 
+    def stream_begun(self, event: StreamBegun) -> None:
+        if event.request in self.jobs:
+            self.jobs[event.request].streaming = True
+
 
     def arrive(self, request: Request) -> None:
         if request.id in self.jobs:
@@ -217,7 +212,7 @@
         throttle = self.throttles.get(request.customer) or self.join(request.customer, request.width, plan)
         self.jobs[request.id] = job = Job(request, klass, throttle, self.now - event.age)
         last = Outcome.NOT_SENT
-        for number, (address, age, outcome) in enumerate(event.attempts):
+        for address, age, outcome in event.attempts:
             # one that is gone shares its repeats' memory with no backend that is known
             unknown = Backend(address, "\0", "", -1, Status.GONE, 1.0, None)
             server = self.servers.get(address) or Server(unknown, 1.0, self.now)
@@ -225,8 +220,7 @@
             job.attempts.append(attempt)
             if outcome is None:
                 self.count_out(job, attempt)
-                late = max(LATE_AT * klass.aim - age, EPS)
-                self.actions.append(SetTimer(late, f"o{number} {request.id}"))
+                self.watch(klass, attempt, self.now + max(LATE_AT * klass.aim - age, EPS))
             else:
                 attempt.out, attempt.unrun, last = False, outcome.never_ran, outcome
         job.risky = next((a for a in job.attempts if not a.unrun), None)
@@ -436,7 +430,7 @@
     def usual_for(self, job: Job) -> float:
         """Seconds such a request takes on the fleet."""
         fallback = self.usual.get((job.klass.name, 0.0), job.klass.aim / 8)
-        return self.usual.get(usual_key(job), fallback)
+        return self.usual.get(job.usual_key, fallback)
 
     def place(self, job: Job) -> None:
         """Finds a backend for a request that has its credit, or turns it away."""
@@ -452,16 +446,16 @@
         if job.risky is not None and job.klass.repeats is Repeats.BY_KEY:
             pool = [s for s in pool if group_of(job.klass, s) == group_of(job.klass, job.risky.server)]
         best, least, found = None, 0.0, 0
-        self.drawn = None
+        usual, self.drawn = self.usual_for(job), None
         for number in range(DRAWS if pool else 0):
             server = pool[int(self.random.random() * len(pool))]
-            if server.cold_share(self.now, self.settings) < 1.0:
+            if not server.warm and server.cold_share(self.now, self.settings) < 1.0:
                 if number == 0 and self.random.random() < self.cold_chance(server):
                     self.drawn = server
                     if self.may_send(job, server):
                         return server
                 continue
-            cost = self.cost(job, server) if self.may_send(job, server) else -1.0
+            cost = self.cost(job, server, usual) if self.may_send(job, server) else -1.0
             if cost >= 0 and (best is None or cost < least):
                 best, least = server, cost
             found += cost >= 0
@@ -469,12 +463,13 @@
                 break
         return best or next((s for s in pool if self.may_send(job, s)), None)
 
-    def cost(self, job: Job, server: Server) -> float:
+    def cost(self, job: Job, server: Server, usual: float) -> float:
         server.fade(self.now)
-        again = sum(1 for a in job.attempts if a.server is server)
-        again += server.full.get((job.klass.name, job.throttle.plan.name), 0.0) > self.now
+        again = sum(1 for a in job.attempts if a.server is server) if job.attempts else 0
+        if server.full:
+            again += server.full.get((job.klass.name, job.throttle.plan.name), 0.0) > self.now
         slow = self.kinds.get(server.backend.kind, 1.0) * (server.flight + 1.0)
-        return self.usual_for(job) * slow + (server.bad + server.overdue + again) * job.klass.aim
+        return usual * slow + (server.bad + server.overdue + again) * job.klass.aim
 
     def cold_chance(self, server: Server) -> float:
         """The part kept of draws that fall on a cold backend, alike at all gateways: of a warm one's work."""
@@ -522,7 +517,7 @@
             apart = group_of(job.klass, first.server) != group_of(job.klass, server)
             if apart or self.now - first.sent >= job.klass.memory:
                 return False
-        if server.cold_share(self.now, settings) < 1.0 and server is not self.drawn:
+        if not server.warm and server.cold_share(self.now, settings) < 1.0 and server is not self.drawn:
             return False
         return bool(job.attempts) or plan.ceiling_rate <= 0 or job.request.units <= job.throttle.cap + EPS
 
@@ -538,15 +533,30 @@
         job.attempts.append(attempt)
         job.risky = job.risky or attempt
         self.actions.append(Send(job.request.id, server.backend.address, self.useful_until(job) - self.now))
-        late = max(LATE_AT * job.klass.aim, EPS)
-        self.actions.append(SetTimer(late, f"o{len(job.attempts) - 1} {job.request.id}"))
+        self.watch(job.klass, attempt, self.now + max(LATE_AT * job.klass.aim, EPS))
 
     def useful_until(self, job: Job) -> float:
         # an attempt is given up once its answer is worth little, or a backlog of such work builds up
         end = job.arrived + job.klass.aim if job.klass.late_share < WORTH_WAITING else job.request.deadline
         return min(job.request.deadline, max(end, self.now + LATE_AT * job.klass.aim))
 
-    def attempt_late(self, job: Job, attempt: Attempt) -> None:
+    def watch(self, klass: RequestClass, attempt: Attempt, due: float) -> None:
+        """Looks at an attempt when it is late. One timer a class, which skips the many that have ended."""
+        watched = self.late[klass.name]
+        if not watched:
+            self.actions.append(SetTimer(due - self.now, "o" + klass.name))
+        watched.append((due, attempt))
+
+    def look_for_late(self, klass: str) -> None:
+        watched = self.late.get(klass, ())
+        while watched and (watched[0][0] <= self.now + EPS or not watched[0][1].out):
+            _, attempt = watched.popleft()
+            if attempt.out:
+                self.attempt_late(attempt)
+        if watched:
+            self.actions.append(SetTimer(max(watched[0][0] - self.now, EPS), "o" + klass))
+
+    def attempt_late(self, attempt: Attempt) -> None:
         attempt.overdue = True  # speaks at once, and no longer fills the limit that sound backends need
         attempt.server.overdue += 1
         self.flight -= 1
@@ -564,7 +574,10 @@
         self.flight -= not attempt.overdue
         job.out -= 1
         job.throttle.open -= 1
-        job.risky = next((a for a in job.attempts if not a.unrun), None)
+        if len(job.attempts) == 1:
+            job.risky = None if attempt.unrun else attempt
+        else:
+            job.risky = next((a for a in job.attempts if not a.unrun), None)
         self.learn(job, attempt, event)
         self.settle(job, event.true_units)
         job.ended = job.ended or event.over
@@ -615,7 +628,7 @@
             return None
         server.bad /= 2
         server.full.pop(kind, None)
-        for key in (usual_key(job), (job.klass.name, 0.0)):
+        for key in (job.usual_key, (job.klass.name, 0.0)):
             before = self.usual.get(key, event.elapsed)
             self.usual[key] = before + BLEND / 3 * (event.elapsed - before)
         name, slow = server.backend.kind, event.elapsed / max(attempt.weight, 1e-4)
@@ -644,34 +657,35 @@
             if attempt.out and self.settings.may_cancel and not job.streaming:
                 self.actions.append(Cancel(job.request.id, number))
 
-    def client_left(self, request: int) -> None:
-        job = self.jobs.get(request)
+    def client_left(self, event: ClientLeft) -> None:
+        job = self.jobs.get(event.request)
         if job is not None:
             job.ended = True
             self.call_off(job)
             self.release(job.throttle)
             if not job.out:
-                self.jobs.pop(request, None)
+                self.jobs.pop(event.request, None)
 
-    def timer_due(self, key: str) -> None:
+    def timer_due(self, event: TimerDue) -> None:
+        key = event.key
         if key == "list":
             return self.actions.append(Subscribe())
         kind, rest = key[:1], key[1:]
         second, _, after = rest.partition(" ")
-        if kind in "oh":
-            job = self.jobs.get(int(after or rest))
-            if job is not None and kind == "o" and job.attempts[int(second)].out:
-                self.attempt_late(job, job.attempts[int(second)])
-            elif job is not None and kind == "h" and job in job.throttle.queue:
+        if kind == "o":
+            return self.look_for_late(rest)
+        if kind == "h":
+            job = self.jobs.get(int(rest))
+            if job is not None and job in job.throttle.queue:
                 # each held one has its own end, wherever it stands: its client may have less patience
                 job.throttle.refill(self.now)
                 self.drop_held(job)
                 self.release(job.throttle)
-            return
+            return None
         rest = after if kind == "d" else rest
         throttle = self.throttles.get(rest)
         if throttle is None:
-            return
+            return None
         if kind == "r":
             throttle.timer = 0.0
             self.release(throttle)
@@ -710,11 +724,6 @@
     return limit + OUT_MORE if out + 1 > limit / 2 else limit
 
 
-def usual_key(job: Job) -> tuple[str, float]:
-    """Whole units: a fraction is the client's word, and each other one would be kept for good."""
-    return job.klass.name, float(math.ceil(job.request.units))
-
-
 def group_of(klass: RequestClass, server: Server) -> str | int:
     if klass.scope is Scope.ALL:
         return ""
--- a/embersill/interface.py
+++ b/embersill/interface.py
@@ -1,4 +1,8 @@
-"""The types between a gateway and its decisions: settings, events and actions. All times are seconds."""
+"""The types between a gateway and its decisions: settings, events and actions. All times are seconds.
+
+None is changed once it is made. The four that every request makes are not marked frozen: that would double
+what making them costs.
+"""
 
 from __future__ import annotations
 
@@ -118,7 +122,7 @@
     started: float | None
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Request:
     """A client's try that has arrived; the gateway owes it one final answer."""
 
@@ -150,7 +154,7 @@
     attempt: int
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class AttemptEnded:
     request: int
     attempt: int
@@ -247,7 +251,7 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Send:
     """Start an attempt; a request's attempts are numbered from 0 in the order of their sends."""
 
@@ -278,7 +282,7 @@
     attempt: int
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class SetTimer:
     delay: float
     key: str
--- a/embersill/net/backends.py
+++ b/embersill/net/backends.py
@@ -16,6 +16,7 @@
 import httptools
 
 from embersill.interface import Outcome
+from embersill.net.deadlines import Deadline, Deadlines
 
 MOST_BODY = 64 * 1024  # bytes of an answer's body, by the protocol
 MOST_HEAD = 32 * 1024  # bytes before the body, interim answers too: a sound backend sends a hundredth of it
@@ -62,7 +63,7 @@
         self.owner: Owner | None = owner
         self.connection: BackendConnection | None = None
         self.dial: asyncio.Task[None] | None = None
-        self.timer: asyncio.TimerHandle | None = None
+        self.timer: Deadline | None = None
 
     @property
     def ended(self) -> bool:
@@ -142,7 +143,9 @@
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is one in all but its bases
         # with no room above the kernel's buffer, pause_writing tells that the request is not written whole
         self.transport.set_write_buffer_limits(high=0)
+        self.poll = select.poll()
         self.descriptor = self.transport.get_extra_info("socket").fileno()
+        self.poll.register(self.descriptor, select.POLLIN)
         self.pool.opened(self)
 
     def pause_writing(self) -> None:
@@ -172,9 +175,7 @@
 
     def is_quiet(self) -> bool:
         """True if nothing waits to be read: no surplus that would pass for the next answer, and no end."""
-        poll = select.poll()
-        poll.register(self.descriptor, select.POLLIN)
-        return not poll.poll(0)
+        return not self.poll.poll(0)
 
     # what the parser tells
 
@@ -312,6 +313,7 @@
         self.clock, self.dial_timeout, self.most = clock, dial_timeout, most
         self.idle_limit = self.most_idle = keepalive * IDLE_PART
         self.loop = asyncio.get_running_loop()
+        self.deadlines = Deadlines(self.loop, lambda: self.clock())
         self.lines: dict[str, Line] = {}
         self.connections: set[BackendConnection] = set()
         self.dialling: dict[Attempt, Line] = {}
@@ -351,7 +353,7 @@
 
     def start(self, attempt: Attempt) -> None:
         now = self.clock()
-        attempt.timer = self.loop.call_later(max(attempt.until - now, 0.0), attempt.time_out)
+        attempt.timer = self.deadlines.at(attempt.until, Attempt.time_out, attempt)
         line = self.lines.get(attempt.backend)
         if line is None:
             return attempt.end(Answer(Outcome.NO_CONNECTION))
--- a/embersill/net/calls.py
+++ b/embersill/net/calls.py
@@ -59,44 +59,45 @@
     def read(self, received: float, method: bytes, target: bytes, headers: dict[bytes, bytes],
              body: bytes) -> Call:
         customer = self.customer(target)
-        klass = self.classes.get(self.needed(headers, b"x-call-class").decode("latin-1"))
+        klass = self.classes.get((headers.get(b"x-call-class") or b"").decode("latin-1"))
         if klass is None:
+            self.needed(headers, b"x-call-class")
             raise BadRequest(400, "X-Call-Class names no class")
         wanted = b"GET" if klass.repeats is Repeats.SAFE else b"POST"
         if method != wanted:
             raise BadRequest(405, "the class goes by another method", b"Allow: %b\r\n" % wanted)
-        plan = self.needed(headers, b"plan").decode("latin-1")
+        plan = (headers.get(b"plan") or b"").decode("latin-1")
         if plan not in self.plans:
+            self.needed(headers, b"plan")
             raise BadRequest(400, "Plan names no plan")
         if body and method == b"GET":
             raise BadRequest(400, "a GET with a body")
-        units, width, first = read_quota(self.needed(headers, b"quota-info"))
+        units, width, first = read_quota(headers.get(b"quota-info") or self.needed(headers, b"quota-info"))
         if not (0 < units <= self.most_units and 1 <= width <= self.gateways and first < self.gateways):
             raise BadRequest(400, "Quota-Info is out of bounds")
         budget = float(self.matched(headers, b"x-budget", BUDGET))
         if not 0 < budget <= OVER_DEADLINE * klass.deadline:
             raise BadRequest(400, "X-Budget is nought, or longer than the class's deadline")
+        call_id = self.matched(headers, b"x-call-id", CALL_ID)
         return Call(
-            id=self.matched(headers, b"x-call-id", CALL_ID), received=received, budget=budget,
-            klass=klass.name, plan=plan, customer=customer, units=units, width=width,
-            first_gateway=first, repeat=headers.get(b"x-again") == b"1",
-            head=self.head(method, target, headers, klass.repeats, body), body=body,
-        )
-
-    def head(self, method: bytes, target: bytes, headers: dict[bytes, bytes], repeats: Repeats,
-             body: bytes) -> bytes:
+            call_id, received, budget, klass.name, plan, customer, units, width, first,
+            headers.get(b"x-again") == b"1",
+            self.head(method, target, call_id, headers, klass.repeats, body), body)
+
+    def head(self, method: bytes, target: bytes, call_id: bytes, headers: dict[bytes, bytes],
+             repeats: Repeats, body: bytes) -> bytes:
         """What goes on to a backend, unchanged; the budget is the gateway's own and comes last."""
-        lines = [b"%b %b HTTP/1.1" % (method, target), b"Host: %b" % headers.get(b"host", b"backend.local"),
-                 b"X-Call-Id: %b" % self.matched(headers, b"x-call-id", CALL_ID)]
+        head = b"%b %b HTTP/1.1\r\nHost: %b\r\nX-Call-Id: %b\r\n" % (
+            method, target, headers.get(b"host", b"backend.local"), call_id)
         if repeats is Repeats.BY_KEY:
-            lines.append(b"Idempotency-Key: %b" % self.matched(headers, b"idempotency-key", KEY))
+            head += b"Idempotency-Key: %b\r\n" % self.matched(headers, b"idempotency-key", KEY)
         elif b"idempotency-key" in headers:
             raise BadRequest(400, "Idempotency-Key on a class that carries none")
         if method != b"GET":
-            lines.append(b"Content-Length: %d" % len(body))
+            head += b"Content-Length: %d\r\n" % len(body)
             if b"content-type" in headers:
-                lines.append(b"Content-Type: %b" % headers[b"content-type"])
-        return b"\r\n".join((*lines, b""))
+                head += b"Content-Type: %b\r\n" % headers[b"content-type"]
+        return head
 
     def customer(self, target: bytes) -> str:
         found: list[bytes] = CLIENT.findall(target)
@@ -113,7 +114,7 @@
         return value
 
     def matched(self, headers: dict[bytes, bytes], name: bytes, form: re.Pattern[bytes]) -> bytes:
-        value = self.needed(headers, name)
+        value = headers.get(name) or self.needed(headers, name)
         if not form.fullmatch(value):
             raise BadRequest(400, f"{name.decode().title()} is not in its form")
         return value
--- a/embersill/net/clients.py
+++ b/embersill/net/clients.py
@@ -110,10 +110,10 @@
         self.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        name = name.lower()
-        if name in SINGLE and name in self.headers:
+        name, headers = name.lower(), self.headers
+        if name in headers and name in SINGLE:
             self.bad = BadRequest(400, f"{name.decode()} stands twice")
-        self.headers[name] = value.strip()
+        headers[name] = value.strip()
 
     def on_headers_complete(self) -> None:
         self.in_head = False
--- a/embersill/net/driver.py
+++ b/embersill/net/driver.py
@@ -19,6 +19,7 @@
 )
 from embersill.net.backends import Answer, Attempt, Pool
 from embersill.net.counter import Counter
+from embersill.net.deadlines import Deadline
 from embersill.net.discovery import Listing
 
 EARLY = 0.1  # seconds before the client's end at which the module takes a request to be over: the budget
@@ -64,7 +65,7 @@
         self.end = call.received + call.budget - min(EARLY, SCANT * call.budget)
         self.attempts: list[Attempt] = []
         self.out, self.over = 0, False
-        self.guard: asyncio.TimerHandle | None = None
+        self.guard: Deadline | None = None
 
     def attempt_ended(self, attempt: Attempt, answer: Answer) -> None:
         self.driver.attempt_ended(self, attempt, answer)
@@ -86,6 +87,7 @@
         self.most_units = gateway.settings.most_units
         self.counter: Counter | None = None
         self.loop = asyncio.get_running_loop()
+        self.deadlines = pool.deadlines
         self.pending: dict[int, Pending] = {}
         self.open: set[bytes] = set()  # the clients' ids of these
         self.unanswered = 0
@@ -109,7 +111,7 @@
         self.open.add(call.id)
         self.unanswered += 1
         end = call.received + call.budget - min(GUARD, SCANT * call.budget / 2)
-        pending.guard = self.loop.call_later(max(end - self.clock(), 0.0), self.rescue, pending)
+        pending.guard = self.deadlines.at(end, self.rescue, pending)
         self.post(Request(
             pending.number, call.klass, call.plan, call.customer, pending.end, call.units, call.width,
             call.first_gateway, call.repeat,
@@ -170,36 +172,40 @@
 
     def post(self, event: Event, due: float = 0.0) -> None:
         """Hands an event on; one that an action brings about waits until all actions are carried out."""
-        self.events.append((event, due))
-        if not self.handling:
-            self.work_off(())
+        if self.handling:
+            return self.events.append((event, due))
+        self.handling = True
+        try:
+            self.handle(event, due)
+            while self.events:
+                self.handle(*self.events.popleft())
+        finally:
+            self.handling = False
+        return None
 
     def perform(self, actions: Iterable[Action]) -> None:
         """Carries out decisions that were made elsewhere, and then what comes of them."""
-        self.work_off(actions)
-
-    def work_off(self, actions: Iterable[Action]) -> None:
         self.handling = True
         try:
-            for action in actions:
-                self.act(action)
+            self.act(actions)
             while self.events:
-                event, due = self.events.popleft()
-                self.handle(event, due)
+                self.handle(*self.events.popleft())
         finally:
             self.handling = False
 
     def handle(self, event: Event, due: float) -> None:
         try:
-            for action in self.gateway.handle(event, max(self.clock(), due)):
-                self.act(action)
+            now = self.clock()
+            self.act(self.gateway.handle(event, now if now > due else due))
         except Exception:  # one event that goes wrong must not take the other requests with it
             log.exception("the event %r went wrong", event)
 
-    def act(self, action: Action) -> None:
-        carry = self.carry.get(type(action))
-        if carry is not None:  # the one other is Subscribe: discovery is followed all the time
-            carry(action)
+    def act(self, actions: Iterable[Action]) -> None:
+        carry = self.carry
+        for action in actions:
+            kind = type(action)
+            if kind in carry:  # the one other is Subscribe: discovery is followed all the time
+                carry[kind](action)
 
     # what the module wants
 
--- a/embersill/tiers/planner.py
+++ b/embersill/tiers/planner.py
@@ -335,8 +335,11 @@
         self.advance(now)
         if key == WORK_OFF:
             self.work_off()
-        elif key[:1] != "o" or now - due < self.terms.silent_after:
-            # an attempt that looks late only since this process stood still says nothing of its backend
+        elif key[:1] == "o" and now - due >= self.terms.silent_after:
+            # an attempt that looks late only since this process stood still says nothing of its backend: what
+            # its forwarder has said since is to be heard first, which has turned elsewhere most likely
+            self.timers.append((self.terms.beat_every, key))
+        else:
             self.tell(TimerDue(key))
 
     def list_told(self, event: BackendList, now: float) -> None:
--- a/embersill/work.py
+++ b/embersill/work.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from embersill.interface import Backend, Request, RequestClass, Settings
@@ -22,6 +23,8 @@
         self.attempts: list[Attempt] = []
         self.out, self.hold_until = 0, now
         self.ended = self.streaming = self.settled = self.trusted = self.sure = self.beyond = False
+        # whole units: a fraction is the client's word, and each other one would be kept for good
+        self.usual_key = klass.name, float(math.ceil(request.units))
         self.counted = 0.0  # units the counter was told of it; below nought: it stays uncounted
         self.risky: Attempt | None = None  # the first attempt not proven unrun
 
@@ -37,6 +40,7 @@
 
     def __init__(self, backend: Backend, limit: float, now: float) -> None:
         self.backend, self.touched = backend, now
+        self.warm = backend.started is None  # for good: a restarted backend is a new one
         self.flight = self.overdue = 0  # attempts out, and those of them that are late already
         self.bad = 0.0  # what is held against it: doubles and one more for each failure, halves with time
         self.full: dict[tuple[str, str], float] = {}  # class and plan: until when it is passed over
@@ -46,9 +50,11 @@
         """The least part of its capacity that it has now; 1 once it must be warm."""
         age = settings.warm_within if self.backend.started is None else max(0.0, now - self.backend.started)
         if age >= settings.warm_within:
+            self.warm = True
             return 1.0
         return settings.cold_from + (1.0 - settings.cold_from) * age / settings.warm_within
 
     def fade(self, now: float) -> None:
-        self.bad *= 0.5 ** ((now - self.touched) / FORGET)
+        if self.bad:
+            self.bad *= 0.5 ** ((now - self.touched) / FORGET)
         self.touched = now
