--- a/embersill/control.py
+++ b/embersill/control.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 import random
 import zlib
 from collections import deque
