Two levels: a forwarder's report fits its link, however many customers it remembers

Seen by reading: a report on 100,000 customers, with up to 64 spends each, is over what may wait unsent on a link; the link would be closed, dialled again, and closed again. Reports hold 16 spends of a customer at most, the older ones taken together as if spent at the latest time, which claims less; the bound on unsent bytes has to cover them and is checked at the start.

--- a/embersill/configuration/operator.py
+++ b/embersill/configuration/operator.py
@@ -19,6 +19,7 @@
 
 LEAST_SECRET = 16  # bytes
 MOST_MEMBERS = 256
+REPORT_BYTES = 400  # of one customer in a forwarder's report, at most: 16 spends of 18 bytes, and its names
 
 
 class TiersTable(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -29,7 +30,7 @@
     secret_file: str
     parts: int = 64
     most_frame_bytes: int = 1 << 20
-    most_unsent_bytes: int = 8 << 20
+    most_unsent_bytes: int = 64 << 20
     most_customers: int = 100_000
     most_open: int = 50_000
     status_every: float = 0.0  # seconds between lines on the state, on standard output; nought: none
@@ -115,6 +116,9 @@
     for key, (value, least, most) in bounds.items():
         if not least <= value <= most:
             raise ValueError(f"tiers.{key}: {value} is not from {least} to {most}")
+    if table.most_unsent_bytes < REPORT_BYTES * table.most_customers:
+        raise ValueError(
+            f"tiers.most_unsent_bytes: a report on most_customers takes up to {REPORT_BYTES} bytes each")
     if not 0 <= table.status_every <= 3600:
         raise ValueError("tiers.status_every: must be from 0 to 3600 s")
     try:
--- a/embersill/tiers/ledger.py
+++ b/embersill/tiers/ledger.py
@@ -15,6 +15,7 @@
 
 SPANS = 2.0  # times the span in which a bucket fills that spends are kept
 LONGEST = 60.0  # seconds they are kept at most
+MOST_REPORTED = 16  # spends of one customer in a report: it has to fit a link, whoever took part
 MOST_SPENDS = 64  # of one customer: older ones are taken together, as if spent at the later time
 
 
@@ -88,7 +89,16 @@
                ) -> list[tuple[str, str, list[tuple[float, float]]]]:
         """Customer, plan and spends of all that are wanted and still matter."""
         return [
-            (customer, plan, self.of(customer, now))
+            (customer, plan, taken_together(self.of(customer, now)))
             for customer, (plan, spends) in self.spends.items()
             if spends[-1][0] >= now - self.horizons[plan] and wanted(customer)
         ]
+
+
+def taken_together(spends: list[tuple[float, float]]) -> list[tuple[float, float]]:
+    """At most MOST_REPORTED spends: the older ones as one, as if spent when the last of them was."""
+    surplus = len(spends) - MOST_REPORTED
+    if surplus <= 0:
+        return spends
+    older = spends[:surplus + 1]
+    return [(older[-1][0], sum(units for _, units in older)), *spends[surplus + 1:]]
--- a/tests/configuration/test_operator.py
+++ b/tests/configuration/test_operator.py
@@ -51,6 +51,7 @@
 @pytest.mark.parametrize(("old", "new", "reason"), [
     ("parts = 64", "part = 64", "unknown field `part`"),
     ("parts = 64", "parts = '64'", "Expected `int`"),
+    ("most_unsent_bytes = 67108864", "most_unsent_bytes = 1000000", "takes up to 400 bytes each"),
     ("parts = 64", "parts = 0", "tiers.parts: 0 is not from 1 to 4096"),
     ('role = "forwarder"', 'role = "boss"', "Invalid enum value 'boss'"),
     ('role = "forwarder"', 'role = "forwarder"\nrules = 1', "unknown field `rules`"),
--- a/tests/tiers/test_ledger.py
+++ b/tests/tiers/test_ledger.py
@@ -5,8 +5,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from embersill.configuration.operator import REPORT_BYTES
 from embersill.interface import Plan
-from embersill.tiers.ledger import MOST_SPENDS, Ledger, horizon_of, replay
+from embersill.tiers.ledger import MOST_REPORTED, MOST_SPENDS, Ledger, horizon_of, replay
+from embersill.tiers.messages import Batch, Spent, encoder
 from embersill.tiers.parts import part_of, ranking
 
 PRO = Plan("pro", 12.0, 24.0, 0, 20.0, 40.0, 1.0, 0.0, 1.0)
@@ -52,6 +54,22 @@
     assert abs(sum(units for _, units in ledger.of("c", 101.0)) - 0.1 * MOST_SPENDS) < 1e-9
 
 
+def test_a_report_is_bounded_and_claims_no_more_than_the_spends() -> None:
+    ledger = Ledger((PRO,), 10, 100.0)
+    for number in range(40):
+        ledger.spent("c", "pro", 1.0, 100.0 + number / 10)
+    ((_, _, told),) = ledger.report(lambda customer: True, 104.0)
+    assert len(told) == MOST_REPORTED and sum(units for _, units in told) == 40.0
+    whole = ledger.of("c", 104.0)
+    assert replay(40.0, 20.0, 4.0, 0.0, told) <= replay(40.0, 20.0, 4.0, 0.0, whole)
+
+
+def test_a_report_of_one_customer_takes_the_bytes_that_its_bound_allows() -> None:
+    spends = [(1.23456789 * n, 7.654321) for n in range(MOST_REPORTED)]
+    spent = Spent([("0" * 16, "p" * 64, spends)])
+    assert len(encoder.encode(Batch(1, 0, 0, [spent]))) <= REPORT_BYTES
+
+
 def test_old_customers_go_as_new_ones_come() -> None:
     ledger = Ledger((PRO,), 1000, 100.0)
     for number in range(5000):
