A planner forgets customers that came once; asking at a planner is tested

Four parts a second are looked through. A planner that asks a limit service is started as a process in a test, as the gateway was.

--- a/embersill/tiers/planner.py
+++ b/embersill/tiers/planner.py
@@ -32,6 +32,7 @@
 WORK_OFF = "~"  # key of the timer that works the backlog off; the module's begin with letters
 WORK_OFF_EVERY = 0.01  # seconds
 WORKED_OFF = 0.1  # of the backlog each time
+PRUNED = 4  # parts in which that look forgets customers whose throttles have gone
 OVERDUE = 5.0  # seconds past its client's end from which a request is taken to be forgotten
 
 
@@ -110,7 +111,7 @@
         self.dead: list[Session] = []  # links to be closed: nothing is heard on them
         self.born = self.now = self.swept_at = now
         self.gathered = False
-        self.review_at = now
+        self.review_at, self.pruned = now, 0
         self.leaving = False
         self.counts = {"asks": 0, "opens": 0, "grants": 0, "refused": 0, "failed": 0, "taken": 0}
 
@@ -534,6 +535,11 @@
             self.swept_at = self.now
             for number in [n for n, job in self.jobs.items() if job.request.deadline + OVERDUE < self.now]:
                 self.drop(number)
+            throttles = self.gateway.throttles
+            for _ in range(min(PRUNED, len(self.parts))):  # customers that came once must not stay for good
+                self.pruned = (self.pruned + 1) % len(self.parts)
+                part = self.parts[self.pruned]
+                part.customers = {c: plan for c, plan in part.customers.items() if c in throttles}
 
     def work_off(self) -> None:
         """Decides part of the backlog: what waited longest in parts that are whole or have waited enough."""
--- a/tests/ratelimit/test_service.py
+++ b/tests/ratelimit/test_service.py
@@ -383,12 +383,13 @@
     run(test)
 
 
-def test_a_gateway_process_asks() -> None:
+@pytest.mark.parametrize("planners", [0, 1])
+def test_a_process_asks(planners: int) -> None:
     async def test() -> None:
         async with limiters(1) as (limiter,):
             text = (f'[ratelimit.ask]\nservices = ["{limiter.address}"]\ndomain = "lookup"\nplans = ["pro"]\n'
                     'timeout = 1.0\nwithin = 1.0\nwithin_part = 0.5\n')
-            async with deployed(text) as deployment:
+            async with deployed(text, planners) as deployment:
                 await deployment.traffic.run(1.0)
                 await deployment.traffic.drained(SOON)
                 told = deployment.books.figures()
--- a/tests/tiers/test_takeover.py
+++ b/tests/tiers/test_takeover.py
@@ -386,3 +386,22 @@
         bench.to_forwarder("f0", other(old))
     assert part.lenders.keys() == {"f0", "f1", "f2"}
     assert not part.whole
+
+
+def test_customers_that_come_once_are_forgotten() -> None:
+    bench = Bench(planners=1)
+    bench.link_all()
+    planner, number = bench.planners["p0"], 0
+    for _ in range(20):
+        for _ in range(40):
+            number += 1
+            bench.ask("f0", number, customer=f"once{number}")
+        bench.exchange()
+        bench.serve()
+        bench.exchange()
+        bench.run(0.5)
+    bench.run(3.0)
+    assert number == 800
+    assert sum(len(part.customers) for part in planner.parts) == len(planner.gateway.throttles) < 200
+    assert not planner.jobs and not bench.forwarders["f0"].tasks and not bench.forwarders["f0"].asks
+    assert len(bench.forwarders["f0"].ledger.spends) == 0  # of an unlimited plan nothing is remembered
