Tests: a forwarder's last words arrive when it stops

Need: a planned stop leaves the forwarder's share to its planners; that the word of it is with the kernel before the loop ends was assumed, and is now shown over sockets.

--- a/tests/tiers/test_links.py
+++ b/tests/tiers/test_links.py
@@ -10,7 +10,8 @@
 from embersill.lab.deployment import Deployment, Shape, free_ports, play
 from embersill.lab.settings import lab_settings
 from embersill.lab.standins import HOST, Behaviour
-from embersill.tiers.links import HANDSHAKE_WITHIN, PlannerServer
+from embersill.tiers.forwarder import Forwarder
+from embersill.tiers.links import HANDSHAKE_WITHIN, ForwarderLinks, PlannerServer
 from embersill.tiers.messages import Ask, Batch, Lend
 from embersill.tiers.planner import Planner
 from embersill.tiers.terms import Terms
@@ -142,6 +143,34 @@
     run(test)
 
 
+class NoDriver:
+    """Stands where a forwarder's driver does."""
+
+    def perform(self, actions: object) -> None: ...
+
+
+def test_the_last_words_of_a_forwarder_that_stops_arrive() -> None:
+    async def test() -> None:
+        server, loop = await planner(), asyncio.get_running_loop()
+        core = Forwarder(lab_settings(1), 1, loop.time(), forwarders=1, planners=["p0"], parts=4,
+                         terms=Terms())
+        links = ForwarderLinks(core, loop.time, Secret(KEY), "f0", {"p0": (HOST, server.port)},
+                               most_frame=1 << 18, most_unsent=1 << 20)
+        links.start(NoDriver())  # type: ignore[arg-type]
+        async with asyncio.timeout(SOON):
+            while not all(part.whole for part in server.core.parts):
+                await asyncio.sleep(0.005)
+            links.close()
+            await asyncio.sleep(0)
+            while server.links:
+                await asyncio.sleep(0.005)
+        lenders = [part.lenders["f0"] for part in server.core.parts]
+        assert all(lender.bequest_until > loop.time() + 3.0 for lender in lenders)
+        server.close()
+
+    run(test)
+
+
 def shape(**changes: object) -> Shape:
     made = Shape(fronts=3, planners=2, backends=4, customers=24, rate=120.0,
                  behaviour=Behaviour(0.01, 0.05, errors=0.01, resets=0.01, turned_away=0.02))
