One piece for each: running a program, the first list, a part's empty ceilings, /proc

Seen on reading the whole change: the planner's program had its own copy of the signals, of the run to the end and of the wait for a first list; a forwarder emptied its ceilings in two loops that differed in one figure; three places read a process's time. Each stands once now (roles.run_until_told and wait_first_list, empty_ceilings, lab.deployment.processor_time and resident_kb).

--- a/benchmarks/ordinary_path.py
+++ b/benchmarks/ordinary_path.py
@@ -24,24 +24,12 @@
 from benchmarks.closed_loop import ClosedLoop
 from benchmarks.counts import count
 from benchmarks.tiers import say
-from embersill.lab.deployment import TICKS, Deployment, Shape
+from embersill.lab.deployment import Deployment, Shape, processor_time, resident_kb
 from embersill.lab.standins import Behaviour
 
 ANSWER = 200  # bytes
 
 
-def spent(pid: int) -> tuple[float, float]:
-    """Seconds of processor time: user and system."""
-    with open(f"/proc/{pid}/stat") as file:
-        fields = file.read().rpartition(")")[2].split()
-    return int(fields[11]) / TICKS, int(fields[12]) / TICKS
-
-
-def memory_kb(pid: int) -> int:
-    with open(f"/proc/{pid}/status") as file:
-        return int(next(line for line in file if line.startswith("VmRSS")).split()[1])
-
-
 async def system_calls(pid: int, load: ClosedLoop, seconds: float) -> float:
     """System calls a request, by strace; nought where there is none. It slows down what it watches."""
     strace = shutil.which("strace")
@@ -103,13 +91,13 @@
         await load.start(target.port)
         await asyncio.sleep(1.0)
         load.reset()
-        user, system = spent(target.pid)
+        user, system = processor_time(target.pid)
         await asyncio.sleep(seconds)
-        after = spent(target.pid)
+        after = processor_time(target.pid)
         served = max(load.served, 1)
         told = {"user_us": 1e6 * (after[0] - user) / served, "system_us": 1e6 * (after[1] - system) / served,
                 "per_second": load.served / seconds, "p50_us": load.quantile_us(0.5),
-                "p99_us": load.quantile_us(0.99), "memory_kb": float(memory_kb(target.pid)),
+                "p99_us": load.quantile_us(0.99), "memory_kb": float(resident_kb(target.pid)),
                 "not_served": float(load.other)}
         told["cpu_us"] = told["user_us"] + told["system_us"]
         if trace:
--- a/benchmarks/ratelimit.py
+++ b/benchmarks/ratelimit.py
@@ -20,25 +20,13 @@
 from benchmarks.closed_loop import ClosedLoop
 from benchmarks.tiers import say
 from embersill.lab.agreement import compare
-from embersill.lab.deployment import TICKS, Deployment, Shape
+from embersill.lab.deployment import Deployment, Shape, processor_time, resident_kb
 from embersill.lab.limiter import Limiter
 from embersill.lab.standins import Behaviour
 
 CLIENTS = 3  # processes that load a server
 
 
-def cpu(pid: int) -> float:
-    with open(f"/proc/{pid}/stat") as file:
-        fields = file.read().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / TICKS
-
-
-def memory_mb(pid: int) -> float:
-    with open(f"/proc/{pid}/status") as file:
-        line = next(line for line in file if line.startswith("VmRSS"))
-    return int(line.split()[1]) / 1024
-
-
 async def one_server(kind: str, streams: int, seconds: float) -> dict[str, float]:
     server = await asyncio.create_subprocess_exec(
         sys.executable, "-m", "benchmarks.ratelimit_server", kind, stdout=asyncio.subprocess.PIPE)
@@ -50,7 +38,7 @@
         for thread in os.listdir(f"/proc/{server.pid}/task"):
             os.sched_setaffinity(int(thread), cores[:1])
         count = min(CLIENTS, streams)
-        before = cpu(server.pid)
+        before = sum(processor_time(server.pid))
         clients = [await asyncio.create_subprocess_exec(
             sys.executable, "-m", "benchmarks.ratelimit_load", str(port), str(streams // count), str(seconds),
             stdout=asyncio.subprocess.PIPE) for _ in range(count)]
@@ -63,10 +51,11 @@
             answered += told["count"]
             latencies += told["latencies"]
         latencies.sort()
-        return {"per_second": answered / seconds, "cpu_us": 1e6 * (cpu(server.pid) - before) / answered,
+        spent = sum(processor_time(server.pid)) - before
+        return {"per_second": answered / seconds, "cpu_us": 1e6 * spent / answered,
                 "p50_ms": 1000 * latencies[len(latencies) // 2],
                 "p99_ms": 1000 * latencies[int(0.99 * (len(latencies) - 1))],
-                "memory_mb": memory_mb(server.pid)}
+                "memory_mb": resident_kb(server.pid) / 1024}
     finally:
         server.kill()
         await server.wait()
--- a/embersill/lab/deployment.py
+++ b/embersill/lab/deployment.py
@@ -100,9 +100,20 @@
         if not self.running:
             return 0.0
         assert self.process is not None
-        with open(f"/proc/{self.process.pid}/stat") as file:
-            fields = file.read().rpartition(")")[2].split()
-        return (int(fields[11]) + int(fields[12])) / TICKS
+        return sum(processor_time(self.process.pid))
+
+
+def processor_time(pid: int) -> tuple[float, float]:
+    """Seconds of processor time of a process so far: user and system."""
+    with open(f"/proc/{pid}/stat") as file:
+        fields = file.read().rpartition(")")[2].split()
+    return int(fields[11]) / TICKS, int(fields[12]) / TICKS
+
+
+def resident_kb(pid: int) -> int:
+    """Memory that a process holds now."""
+    with open(f"/proc/{pid}/status") as file:
+        return int(next(line for line in file if line.startswith("VmRSS")).split()[1])
 
 
 def free_ports(count: int) -> list[int]:
--- a/embersill/roles.py
+++ b/embersill/roles.py
@@ -9,6 +9,7 @@
 import signal
 import time
 from collections.abc import Callable
+from typing import Protocol
 
 from embersill.configuration.platform import BadConfiguration, Configuration, read_configuration
 from embersill.control import Gateway
@@ -37,6 +38,38 @@
     return lambda: began + monotonic()
 
 
+class Runs(Protocol):
+    """Whatever is started, told to read its configuration again, and stopped."""
+
+    async def start(self) -> None: ...
+
+    async def stop(self) -> None: ...
+
+    def reload(self) -> None: ...
+
+
+async def run_until_told(program: Runs) -> None:
+    """Starts a program, and stops it in order on SIGTERM; SIGHUP has it read its configuration again."""
+    stop, loop = asyncio.Event(), asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, program.reload)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+    await program.start()
+    gc.freeze()  # what start-up made stays: no need to look through it again
+    await stop.wait()
+    await program.stop()
+
+
+async def wait_first_list(discovery: Discovery) -> None:
+    """Until discovery has given a list of its own, or the remembered one must do."""
+    try:
+        async with asyncio.timeout(FIRST_LIST_WITHIN):
+            await discovery.heard.wait()
+    except TimeoutError:
+        pass
+
+
 class Program:
     """The parts of one gateway, from start to stop."""
 
@@ -64,24 +97,12 @@
         return self.settled and bool(self.driver.serving)
 
     async def run(self) -> None:
-        stop = asyncio.Event()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            self.loop.add_signal_handler(number, stop.set)
-        self.loop.add_signal_handler(signal.SIGHUP, self.reload)
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
-        await self.start()
-        gc.freeze()  # what start-up made stays: no need to look through it again
-        await stop.wait()
-        await self.stop()
+        await run_until_told(self)
 
     async def start(self) -> None:
         self.front.listen(self.listen)
         self.discovery.start()
-        try:
-            async with asyncio.timeout(FIRST_LIST_WITHIN):
-                await self.discovery.heard.wait()
-        except TimeoutError:
-            pass
+        await wait_first_list(self.discovery)
         self.settled = True
 
     def reload(self) -> None:
--- a/embersill/tiers/forwarder.py
+++ b/embersill/tiers/forwarder.py
@@ -238,18 +238,18 @@
 
     def part_freed(self, part: Part) -> None:
         """Nobody holds the part: what is decided here from now on has its share from `free_at` on."""
-        for customer, throttle in self.local.throttles.items():
-            if throttle.plan.ceiling_rate > 0 and part_of(customer, len(self.parts)) == part.number:
-                rate = throttle.plan.ceiling_rate * self.share
-                cap = -rate * max(part.free_at() - self.now, 0.0)
-                self.tell_local(Allotted(customer, throttle.plan.name, self.share, self.share, cap))
+        self.empty_ceilings(part, max(part.free_at() - self.now, 0.0))
 
     def part_lent(self, part: Part) -> None:
         """The share is lent: nothing that waits here may leave on it any more."""
+        longest = max((c.deadline for c in self.settings.classes), default=0.0)
+        self.empty_ceilings(part, self.terms.lease + longest)
+
+    def empty_ceilings(self, part: Part, seconds: float) -> None:
+        """Ceilings of the part's customers here begin to fill in so many seconds."""
         for customer, throttle in self.local.throttles.items():
             if throttle.plan.ceiling_rate > 0 and part_of(customer, len(self.parts)) == part.number:
-                longest = max((c.deadline for c in self.settings.classes), default=0.0)
-                cap = -throttle.plan.ceiling_rate * self.share * (self.terms.lease + longest)
+                cap = -throttle.plan.ceiling_rate * self.share * seconds
                 self.tell_local(Allotted(customer, throttle.plan.name, self.share, self.share, cap))
 
     def tell_local(self, event: Event) -> None:
--- a/embersill/tiers/roles.py
+++ b/embersill/tiers/roles.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import gc
 import json
 import logging
 import os
-import signal
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -15,7 +13,7 @@
 from embersill.configuration.platform import BadConfiguration, Configuration, read_configuration
 from embersill.interface import BackendList, Status
 from embersill.net.discovery import Discovery, Listing
-from embersill.roles import FIRST_LIST_WITHIN, Program, start_clock
+from embersill.roles import Program, run_until_told, start_clock, wait_first_list
 from embersill.tiers.forwarder import Forwarder
 from embersill.tiers.links import ForwarderLinks, PlannerServer
 from embersill.tiers.planner import Planner
@@ -128,11 +126,7 @@
 
     async def start(self) -> None:
         self.discovery.start()
-        try:
-            async with asyncio.timeout(FIRST_LIST_WITHIN):
-                await self.discovery.heard.wait()
-        except TimeoutError:
-            pass
+        await wait_first_list(self.discovery)
         await self.server.start(self.address)
         report_every(self.status_every, "planner", self.server.name, self.core.status)
 
@@ -147,12 +141,4 @@
         self.discovery.stop()
 
     async def run(self) -> None:
-        stop, loop = asyncio.Event(), asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, stop.set)
-        loop.add_signal_handler(signal.SIGHUP, self.reload)
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
-        await self.start()
-        gc.freeze()
-        await stop.wait()
-        await self.stop()
+        await run_until_told(self)
