--- a/embersill/net/discovery.py
+++ b/embersill/net/discovery.py
@@ -13,11 +13,10 @@
 import httptools
 
 from embersill.interface import Backend, ListKind, Status
+from embersill.pacing import Pace
 from embersill.settings import STATUSES
 
 WATCH_MS = 4000  # a watch's wait: a silent agent is noticed soon after it
-ANSWER_WITHIN = 2.0  # seconds past the wait that an answer may take before the call counts as failed
-FIRST_BACK_OFF, MOST_BACK_OFF = 0.05, 1.0  # seconds before a failed call is made again: doubled each time
 MOST_LIST = 4 * 1024 * 1024  # bytes: a fleet of thousands fits
 
 log = logging.getLogger("embersill")
@@ -27,6 +26,10 @@
     """A list that the protocol does not allow, or no list at all."""
 
 
+class TurnedAway(BadList):
+    """Discovery has too much to do to answer now."""
+
+
 @dataclass(frozen=True, slots=True)
 class Entry:
     backend: Backend
@@ -113,7 +116,7 @@
         if status == 200:
             self.answer.set_result(bytes(self.body))
         else:
-            self.answer.set_exception(BadList(f"status {status}"))
+            self.answer.set_exception((TurnedAway if status == 503 else BadList)(f"status {status}"))
 
     def data_received(self, data: bytes) -> None:
         try:
@@ -131,26 +134,30 @@
     """Follows the list at one address until it is stopped, and tells every answer in order."""
 
     def __init__(
-        self, address: tuple[str, int], dial_timeout: float, told: Callable[[Agent, Listing], None]
+        self, address: tuple[str, int], dial_timeout: float, told: Callable[[Agent, Listing], None],
+        pace: Pace, generation: int | None = None,
     ) -> None:
-        self.address, self.dial_timeout, self.told = address, dial_timeout, told
+        """`generation`: of a list that the gateway has already, where asking for it again costs others."""
+        self.address, self.dial_timeout, self.told, self.pace = address, dial_timeout, told, pace
         self.host = f"{address[0]}:{address[1]}"
         self.connection: DiscoveryConnection | None = None
-        self.generation: int | None = None
+        self.generation = generation
         self.task = asyncio.get_running_loop().create_task(self.run())
 
     async def run(self) -> None:
-        back_off = FIRST_BACK_OFF
+        await asyncio.sleep(self.pace.first())
         while True:
             try:
                 listing = await self.call()
-            except (OSError, TimeoutError, BadList, ValueError):
+            except (OSError, TimeoutError, BadList, ValueError) as error:
                 self.drop()
-                self.generation = None  # the whole list is answered at once, a watch with the next change
-                await asyncio.sleep(back_off)
-                back_off = min(2 * back_off, MOST_BACK_OFF)
+                # the whole list is answered at once, a watch with the next change; but a service that has too
+                # much to do is asked for no more than what is missing
+                if self.pace.pushed or not isinstance(error, TurnedAway | TimeoutError):
+                    self.generation = None
+                await asyncio.sleep(self.pace.failed())
                 continue
-            back_off = FIRST_BACK_OFF
+            self.pace.answered()
             self.generation = listing.generation
             try:
                 self.told(self, listing)
@@ -164,7 +171,7 @@
             target = f"/v1/endpoints?since={self.generation}&timeout_ms={WATCH_MS}"
             wait = WATCH_MS / 1000.0
         connection = self.connection or await self.connect()
-        async with asyncio.timeout(wait + ANSWER_WITHIN):
+        async with asyncio.timeout(wait + self.pace.patience):
             body = await connection.ask(target, self.host)
         if not connection.keep:
             self.drop()
@@ -190,14 +197,19 @@
     """The list as told by one agent after another: an old one serves until the new one has told it whole."""
 
     def __init__(
-        self, address: tuple[str, int], dial_timeout: float, told: Callable[[Listing], None]
+        self, address: tuple[str, int], dial_timeout: float, told: Callable[[Listing], None],
+        pace: Pace | None = None, known: int | None = None,
     ) -> None:
+        """`known`: the generation of the remembered list. It is asked from where each call costs others."""
         self.address, self.dial_timeout, self.told = address, dial_timeout, told
+        self.pace = pace or Pace()
+        self.known = None if self.pace.pushed else known
         self.heard = asyncio.Event()  # set once discovery has answered at all
         self.agents: list[Agent] = []  # the one that is believed, and behind it the one that is to follow it
 
     def start(self) -> None:
-        self.agents.append(Agent(self.address, self.dial_timeout, self.agent_told))
+        known = None if self.agents else self.known  # another service may number its lists otherwise
+        self.agents.append(Agent(self.address, self.dial_timeout, self.agent_told, self.pace, known))
 
     def move(self, address: tuple[str, int]) -> None:
         self.address = address
--- a/embersill/roles.py
+++ b/embersill/roles.py
@@ -18,6 +18,7 @@
 from embersill.net.counter import Counter
 from embersill.net.discovery import Discovery
 from embersill.net.driver import Decider, Driver
+from embersill.pacing import Pace
 
 RESERVE = 64  # descriptors kept for the listener, discovery, the counter, and what the run-time itself needs
 RESERVE_PART = 0.25  # of the descriptors, at most, that this may be
@@ -87,7 +88,9 @@
                 clock, told.counter, told.settings.counter_patience, told.limits.dial_timeout,
                 self.driver.counter_told)
         self.driver.list_told(told.known)
-        self.discovery = Discovery(told.discovery, told.limits.dial_timeout, self.driver.list_told)
+        pace = Pace(told.settings.list_pushed, told.settings.gateways, told.seed)
+        self.discovery = Discovery(
+            told.discovery, told.limits.dial_timeout, self.driver.list_told, pace, told.known.generation)
         self.front = Front(self.driver, told.settings, clock, clients, self.serves)
         self.listen, self.settings = told.listen, told.settings
         self.filed = told.discovery_filed, told.counter
@@ -102,7 +105,8 @@
     async def start(self) -> None:
         self.front.listen(self.listen)
         self.discovery.start()
-        await wait_first_list(self.discovery)
+        if self.settings.list_pushed or not self.driver.serving:
+            await wait_first_list(self.discovery)
         self.settled = True
 
     def reload(self) -> None:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -9,6 +9,7 @@
 from embersill.control import Gateway
 from embersill.interface import ListKind, Status
 from embersill.net.discovery import BadList, Discovery, Listing, read_address, read_listing
+from embersill.pacing import Pace
 from tests.bed import request, run, running
 from tests.peers import DiscoveryPeer, message
 
@@ -157,3 +158,26 @@
             assert len(draining.seen) == seen and len(other.seen) >= 12
 
     run(test)
+
+
+def test_a_service_that_turns_calls_away_is_asked_on_from_the_list_that_is_known() -> None:
+    # asking for all of it again would cost it more each time, when it has too much to do already
+    async def test() -> None:
+        peer = DiscoveryPeer()
+        await peer.start()
+        await peer.change(peer.entry("a", "127.0.0.1:9"))
+        told: asyncio.Queue[Listing] = asyncio.Queue()
+        pace = Pace(False, 1, 1)
+        pace.base = pace.wait = 0.01
+        discovery = Discovery(read_address(peer.address), 5.0, told.put_nowait, pace, 1)
+        discovery.start()
+        assert (await told.get()).entries[0].address == ("127.0.0.1", 9)
+        await peer.until_asked(2)
+        for writer in list(peer.open):
+            writer.write(message(503))
+        await peer.until_asked(3)
+        assert all("since=" in asked for asked in peer.asked)
+        discovery.stop()
+        await peer.stop()
+
+    run(test)
--- /dev/null
+++ b/tests/test_pacing.py
@@ -0,0 +1,72 @@
+"""A fleet against a discovery service of fixed capacity that overbooks itself. No sockets, no real time."""
+
+from __future__ import annotations
+
+import heapq
+import random
+
+import pytest
+
+from embersill.pacing import SERVICE_CALLS, Pace
+
+TIME_OUT = 2.0  # seconds after which the service fails a call that has not had its turn
+OVERBOOKED = 3.0  # time-outs' worth of work in line from which it turns calls away
+
+
+def play(paces: list[Pace], seconds: float, rate: float) -> tuple[list[float], list[float]]:
+    """When each gateway first had a list, and when calls came; what has failed is worked at all the same."""
+    order = list(range(len(paces)))
+    due = [(pace.first() + 0.001 * number, number) for number, pace in enumerate(paces)]
+    heapq.heapify(due)
+    had, calls, free = [float("inf")] * len(order), [], 0.0
+    while due and due[0][0] < seconds:
+        now, number = heapq.heappop(due)
+        calls.append(now)
+        free = max(free, now)
+        if free - now > OVERBOOKED * TIME_OUT:
+            heapq.heappush(due, (now + 0.002 + paces[number].failed(), number))
+            continue
+        free += 1.0 / rate
+        waits = min(TIME_OUT, paces[number].patience)
+        if free - now > waits:
+            heapq.heappush(due, (now + waits + paces[number].failed(), number))
+        else:
+            had[number] = free
+    return had, calls
+
+
+def busiest(calls: list[float]) -> int:
+    return max(sum(1 for c in calls if begin <= c < begin + 1.0) for begin in calls)
+
+
+@pytest.mark.parametrize("gateways", [4, 40, 200])
+def test_a_fleet_that_starts_in_step_has_its_lists_in_four_turns_of_all(gateways: int) -> None:
+    spread = gateways / SERVICE_CALLS
+    for seed in range(100):
+        seeds = random.Random(seed)
+        paces = [Pace(False, gateways, seeds.getrandbits(32)) for _ in range(gateways)]
+        had, calls = play(paces, 8 * spread + 8, SERVICE_CALLS)
+        assert max(had) < 4 * spread + 4, seed
+        assert busiest(calls) <= 4 * SERVICE_CALLS, seed
+
+
+def test_calls_made_again_at_once_keep_such_a_service_from_answering_anyone() -> None:
+    # the pace of a local agent, which was used for a shared service as well
+    had, calls = play([Pace(True) for _ in range(40)], 30.0, SERVICE_CALLS)
+    assert sum(h < 30.0 for h in had) < 20 and busiest(calls) >= 40
+
+
+def test_a_pushed_list_is_asked_for_at_once_and_again_soon() -> None:
+    pace = Pace(True, 40, 1)
+    assert pace.first() == 0.0
+    assert [pace.failed() for _ in range(6)] == [0.05, 0.1, 0.2, 0.4, 0.8, 1.0]
+    pace.answered()
+    assert pace.failed() == 0.05
+
+
+def test_waits_for_a_service_grow_and_have_a_bound() -> None:
+    pace = Pace(False, 40, 1)
+    waits = [pace.failed() for _ in range(50)]
+    assert all(0.5 * 8.0 <= w <= 1.5 * 16.0 for w in waits) and max(waits) > 16.0
+    pace.answered()
+    assert pace.failed() <= 1.5 * 8.0
