Cold backends carry by what they can do where many are cold

At fault: Gateway.cold_chance. Its share is of an even deal, as if the rest were warm, and what answers were late took up to 0.3 of it away just when the warm ones were late for want of it.

Change: the share is divided by the fleet's least present warmth, looked up 4 times a second, up to 1.8 times; the cut by late answers is gone. Rejected: dealing to the cold ones by load as seen from one gateway (nearly always nought in flight, at 0.2 requests a second each). The rule's 3 times are kept in a deal at which a fleet warm would run at its full load; tests hold it for 12 to 60 cold ones of 60 at 40 gateways.

--- a/embersill/control.py
+++ b/embersill/control.py
@@ -35,7 +35,8 @@
 WORST = 8.0  # most that is held against one: it is drawn again after four halvings at the latest
 SHUN = 0.5  # what is held against a backend from which another draw is made in its place
 COLD_PART = 0.34  # of the work that would push a cold backend over, at most: chance and large work double it
-COLD_PRESSED = 0.7  # of that part which is left while answers fail or are late: the sound ones need the help
+COLD_LIFT = 1.8  # times that part, at most, where so many are cold that the warm ones alone are too few
+LOOK_EVERY = 0.25  # seconds between looks at how warm the fleet is
 FULL_FOR = 15.0  # seconds a backend that turned a plan or a class away is passed over for it
 LATE_AT = 0.35  # of the aim from which an answer counts as late: short queues don't push a backend over
 LEAST_OUT = 1.0  # attempts a gateway may always have out; the fraction of one is drawn
@@ -68,6 +69,7 @@
         self.servers: dict[str, Server] = {}
         self.order: list[Server] = []  # those that serve, for drawing
         self.drawn: Server | None = None  # the cold backend that the draw has let through
+        self.warmth, self.warmth_until = 1.0, now  # the fleet's part of its whole capacity, until when
         self.kinds: dict[str, float] = {}  # answer time of a kind of machine against the fleet's
         self.jobs: dict[int, Job] = {}
         self.throttles: dict[str, Throttle] = {}
@@ -75,7 +77,7 @@
         self.usual: dict[tuple[str, float], float] = {}
         # attempts by when they are late, by class: each class's timer is set while there are any
         self.late: dict[str, deque[tuple[float, Attempt]]] = {c.name: deque() for c in settings.classes}
-        self.fleet_fails, self.retry_credit = 0.0, RETRY_STORE
+        self.retry_credit = RETRY_STORE
         self.passed, self.judged = 1.0, now
         self.flight, self.limit = 0, float("inf")  # attempts out and not late, and how many may be
         self.quiet_until, self.count_fails = now, 0
@@ -514,8 +516,17 @@
 
     def cold_chance(self, server: Server) -> float:
         """The part kept of draws that fall on a cold backend, alike at all gateways: of a warm one's work."""
-        part = min(1.0, self.settings.fall_multiple * COLD_PART) * max(1.0 - self.fleet_fails, COLD_PRESSED)
-        return part * server.cold_share(self.now, self.settings)
+        part = min(1.0, self.settings.fall_multiple * COLD_PART)
+        # what is kept from the cold ones is the warm ones' load: where most are cold, all take their share
+        return part * server.cold_share(self.now, self.settings) * min(1.0 / self.fleet_warmth(), COLD_LIFT)
+
+    def fleet_warmth(self) -> float:
+        """The least part of its whole capacity that the fleet has now; more than nought."""
+        if self.now >= self.warmth_until:
+            self.warmth_until = self.now + LOOK_EVERY
+            whole = sum(1.0 if s.warm else s.cold_share(self.now, self.settings) for s in self.order)
+            self.warmth = max(whole / max(len(self.order), 1), 1.0 / COLD_LIFT / 2)
+        return self.warmth
 
     def pressed(self, job: Job) -> bool:
         """Sheds while answers are late, those with little credit first: overload no one backend shows."""
@@ -676,7 +687,6 @@
         if outcome is Outcome.TURNED_AWAY:  # maybe for no other plan or class: no sign of its health
             return server.full.update({kind: self.now + FULL_FOR})
         bad, late = outcome is not Outcome.SERVED, event.elapsed > LATE_AT * job.klass.aim
-        self.fleet_fails += BLEND / 4 * ((bad or late) - self.fleet_fails)
         if not attempt.overdue and outcome in (Outcome.SERVED, Outcome.TIMED_OUT):
             self.judge(late, server)
         if bad:
@@ -770,6 +780,7 @@
             else:
                 server.backend = backend
         self.order = [s for s in self.servers.values() if s.backend.status is Status.SERVING]
+        self.warmth_until = self.now
         if event.kind is ListKind.REMEMBERED and not self.settings.list_pushed:
             self.actions.append(Subscribe())
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 from dataclasses import replace
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -107,6 +108,38 @@
         assert 10 <= to_cold <= 70  # a warm one gets 200 and more, the least that it can carry is 50
 
 
+def cold_parts(cold: int, warm: int, age: float = 0.0) -> tuple[float, float]:
+    """Sends to a cold backend and to a warm one, each by the mean, from 40 gateways with few requests."""
+    sent = {"c": 0, "w": 0}
+    for me in range(40):
+        made = Gateway(replace(SETTINGS, gateways=40), me, 100.0)
+        made.handle(backends(
+            *(backend(f"c{n}", started=100.0 - age) for n in range(cold)),
+            *(backend(f"w{n}") for n in range(warm))), 100.0)
+        for number in range(60):
+            actions = list(made.handle(request(number, customer=f"x{number}", deadline=110.0), 100.1))
+            if at := [a.backend for a in actions if isinstance(a, Send)]:
+                sent[at[0][0]] += 1
+                made.handle(ended(number, 0, at[0], Outcome.SERVED), 100.2)
+    mean = 40 * 60 / (cold + warm)
+    return sent["c"] / mean / cold, sent["w"] / mean / max(warm, 1)
+
+
+def test_where_most_backends_are_cold_all_carry_by_what_they_can_do() -> None:
+    """Six in ten replaced: the warm ones got three times a cold one's load, and were late."""
+    share = 0.25 + 0.75 * 4.0 / 10.0  # the least that one can do 4 s after its start
+    to_cold, to_warm = cold_parts(36, 24, age=4.0)
+    assert 0.8 * share < to_cold / to_warm < 1.1 * share
+    assert to_cold < 3.0 * share / 1.5  # a fleet warm and loaded in full would still keep half of the rule
+
+
+@pytest.mark.parametrize("cold", [12, 30, 54, 60])
+def test_a_cold_backend_stays_under_the_rule_however_many_are_cold(cold: int) -> None:
+    # measured against what a warm one gets with all warm, at which no fleet runs in full
+    to_cold, _ = cold_parts(cold, 60 - cold)
+    assert to_cold < 0.25 * 2.0
+
+
 def test_a_fleet_that_is_cold_as_a_whole_is_used() -> None:
     made = gateway(listed=backends(backend("a", started=99.0), backend("b", started=99.0)))
     tries = [made.handle(request(n, customer=f"x{n}", deadline=110.0), 100.0 + n / 10) for n in range(40)]
