An operators' door: figures, bans by hand, drains, and one process after another

The module decides bans (event Held, a drain of its own source that outranks the list and goes by id; back from it a backend is cold) and shared ceilings (event Shared, half each while two processes live).

--- a/embersill/configuration/platform.py
+++ b/embersill/configuration/platform.py
@@ -25,6 +25,7 @@
     discovery: tuple[str, int]
     discovery_filed: tuple[str, int] | None  # the same by the file, whatever the environment said
     counter: tuple[str, int] | None
+    operator: tuple[str, int] | None  # where staff's calls are taken; None: nowhere
     seed: int
     sockets: int
     known: Listing
@@ -56,12 +57,13 @@
     sockets = min(int(told["limits"]["sockets"]), soft)
     if sockets < LEAST_SOCKETS:
         raise ValueError(f"limits: sockets is below {LEAST_SOCKETS}")
+    operator = environ.get("RELAY_OPERATOR") or told.get("operator")
     return Configuration(
         name=str(environ.get("RELAY_NAME") or told["name"]),
         listen=read_address(environ.get("RELAY_LISTEN") or told["listen"]),
         discovery=read_address(environ.get("RELAY_DISCOVERY") or told["discovery"]),
         discovery_filed=read_address(told["discovery"]) if "discovery" in told else None,
-        counter=counter,
+        counter=counter, operator=read_address(operator) if operator else None,
         seed=int(told["seed"], 16), sockets=sockets,
         known=read_listing(told["known"], ListKind.REMEMBERED), settings=settings,
         limits=read_limits(told["settings"]),
--- a/embersill/control.py
+++ b/embersill/control.py
@@ -10,8 +10,8 @@
 
 from embersill.interface import (
     Action, Allotted, AttemptEnded, Backend, BackendList, Cancel, ClientLeft, Count, Counted, Event, Fail,
-    Inherited, ListKind, Outcome, Plan, Question, Refuse, Repeats, Request, RequestClass, Ruled, Scope, Send,
-    SetTimer, Settings, Status, StreamBegun, Subscribe, Take, TimerDue, Verdict,
+    Held, Inherited, ListKind, Outcome, Plan, Question, Refuse, Repeats, Request, RequestClass, Ruled, Scope,
+    Send, SetTimer, Settings, Shared, Status, StreamBegun, Subscribe, Take, TimerDue, Verdict,
 )
 from embersill.throttle import EPS, PERIOD, Charge, Throttle
 from embersill.work import FORGET, LEAST_LIMIT, START_LIMIT, Attempt, Job, Server
@@ -71,6 +71,8 @@
         self.actions: list[Action] = []
         self.servers: dict[str, Server] = {}
         self.order: list[Server] = []  # those that serve, for drawing
+        self.held: set[str] = set()  # taken out of use by hand, listed or not
+        self.processes = 1  # of this gateway, that keep its ceilings together
         self.drawn: Server | None = None  # the cold backend that the draw has let through
         self.warmth, self.warmth_until = 1.0, now  # the fleet's part of its whole capacity, until when
         self.kinds: dict[str, float] = {}  # answer time of a kind of machine against the fleet's
@@ -93,7 +95,7 @@
             Request: self.arrive, AttemptEnded: self.attempt_ended, TimerDue: self.timer_due,
             Counted: self.counted, BackendList: self.list_changed, ClientLeft: self.client_left,
             StreamBegun: self.stream_begun, Allotted: self.allotted, Inherited: self.inherited,
-            Question: self.question, Ruled: self.ruled,
+            Question: self.question, Ruled: self.ruled, Held: self.take_out, Shared: self.share_ceilings,
         }
         # part of the counted thin requests that had the credit, by plan and whether the slice covered them
         self.granted = {(p.name, sure): float(sure) for p in settings.plans for sure in (False, True)}
@@ -201,6 +203,8 @@
         most = math.inf if self.repays else most  # then sums tell of every customer, however wide its slice
         width = max(1, width or self.settings.gateways)
         throttle = Throttle(customer, plan, width, self.now, self.born, most, first)
+        if self.processes > 1:
+            throttle.set_ceiling(1.0 / width / self.processes, self.now)
         self.throttles[customer] = throttle
         self.sweep.append(customer)
         return throttle
@@ -570,6 +574,8 @@
         known = self.servers.get(server.backend.address) is server and server.flight < server.limit
         if server.backend.status is not Status.SERVING or not known:
             return False
+        if self.held and server.backend.address in self.held:
+            return False
         if len(job.attempts) >= settings.max_attempts or (job.out and not settings.second_copies):
             return False
         if first is not None and job.klass.repeats is Repeats.ONCE:
@@ -792,11 +798,45 @@
                 self.servers[backend.address] = Server(backend, limit, self.now)
             else:
                 server.backend = backend
-        self.order = [s for s in self.servers.values() if s.backend.status is Status.SERVING]
-        self.warmth_until = self.now
+        self.set_order()
         if event.kind is ListKind.REMEMBERED and not self.settings.list_pushed:
             self.actions.append(Subscribe())
 
+    def set_order(self) -> None:
+        self.order = [s for s in self.servers.values() if s.backend.status is Status.SERVING]
+        if self.held:
+            self.order = [s for s in self.order if s.backend.address not in self.held]
+        self.warmth_until = self.now
+
+    def take_out(self, event: Held) -> None:
+        """By hand: as if it drained, whatever is listed; back, it is cold, for it may have been restarted."""
+        if event.out:
+            self.held.add(event.backend)
+        elif event.backend in self.held:
+            self.held.discard(event.backend)
+            before = self.servers.get(event.backend)
+            if before is not None:
+                limit = max(1.0, START_LIMIT / self.settings.gateways)
+                server = self.servers[event.backend] = Server(before.backend, limit, self.now)
+                server.started, server.warm = self.now, False
+        self.set_order()
+
+    def share_ceilings(self, event: Shared) -> None:
+        """Two processes have half of every ceiling each, until one is alone with it again."""
+        if (self.processes == 2) == event.on:
+            return
+        self.processes = 2 if event.on else 1
+        for throttle in self.throttles.values():
+            throttle.set_ceiling(1.0 / throttle.width / self.processes, self.now)
+
+    def avoided(self) -> int:
+        """Listed backends that get nothing now: by the list's word, by hand, or for what they did."""
+        dead = 0
+        for server in self.order:
+            server.fade(self.now)
+            dead += server.bad >= WORST / 2
+        return len(self.servers) - len(self.order) + dead
+
 
 def moved(limit: float, late: bool, out: int, least: float) -> float:
     """A limit on what is out, after an answer: under what was out for a late one, more if it was in use."""
--- a/embersill/interface.py
+++ b/embersill/interface.py
@@ -257,9 +257,27 @@
     retry_after: float
 
 
+@dataclass(frozen=True, slots=True)
+class Held:
+    """Staff take a backend out of use, or put it back: it goes before whatever the list says of it.
+
+    It is named by its id, whether the list has it now or not. One that comes back may have been restarted.
+    """
+
+    backend: str
+    out: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Shared:
+    """Another process of this same gateway lives, or does so no more: both keep its ceilings together."""
+
+    on: bool
+
+
 Event = (
     Request | BackendList | ClientLeft | StreamBegun | AttemptEnded | Counted | Probed | TimerDue | Allotted
-    | Inherited | Question | Ruled
+    | Inherited | Question | Ruled | Held | Shared
 )
 
 
--- a/embersill/net/backends.py
+++ b/embersill/net/backends.py
@@ -158,6 +158,7 @@
         assert self.transport is not None
         self.attempt, attempt.connection = attempt, self
         self.start_answer()
+        self.pool.tries += 1
         self.transport.write(b"%bX-Budget: %.3f\r\n\r\n%b" % (attempt.head, wait, attempt.body))
 
     def give_up(self, attempt: Attempt) -> None:
@@ -289,6 +290,7 @@
                 self.pool.was_dead(self.rested)
             # an unsent rest proves that the backend never had the whole; a write that went through proves
             # nothing, also not on a kept connection that the backend had closed by then
+            self.pool.tries -= self.unsent
             attempt.end(Answer(Outcome.NO_CONNECTION if self.unsent else Outcome.BROKEN))
 
 
@@ -317,6 +319,7 @@
         self.lines: dict[str, Line] = {}
         self.connections: set[BackendConnection] = set()
         self.dialling: dict[Attempt, Line] = {}
+        self.tries = 0  # attempts written whole to backends
         self.sweeper = self.loop.call_later(SWEEP_EVERY, self.sweep)
 
     def set_address(self, backend: str, address: tuple[str, int], started: float | None = None) -> None:
@@ -341,6 +344,13 @@
             for attempt in [a for a, towards in self.dialling.items() if towards is line]:
                 attempt.end(Answer(Outcome.NO_CONNECTION))
 
+    def rest_line(self, backend: str) -> None:
+        """Nothing goes there for now: what is kept open there is closed, what is dialling is not written."""
+        line = self.lines.get(backend)
+        if line is not None:
+            line.drop_idle()
+        self.call_back(backend)
+
     def call_back(self, backend: str) -> None:
         """What is still dialling there is not written: somebody else was told that it drains."""
         for attempt in [a for a in self.dialling if a.backend == backend]:
--- a/embersill/net/clients.py
+++ b/embersill/net/clients.py
@@ -34,6 +34,8 @@
 MAKE_WAY = 16  # connections at most that make way at one look: the look costs more than they do
 BACKLOG = 1024
 ACCEPT_AGAIN = 0.02  # seconds until the next try where no descriptor was left for a connection
+CLOSING_FROM = 0.3  # seconds after a drain begins from which clients are told to go: new ones stop by then
+LEAVE_IDLE = 0.4  # seconds unused from which a connection is closed while the gateway is emptied
 ACCEPTS = 64  # connections taken in at one go, so that those at hand get their turn
 
 SINGLE = frozenset((b"x-call-id", b"x-call-class", b"plan", b"x-budget", b"idempotency-key", b"quota-info",
@@ -302,7 +304,7 @@
 
         Said any earlier, it would leave those that were sent behind it without theirs.
         """
-        if not self.front.stopping or self.unread or self.exchanges[-1] is not exchange:
+        if not self.front.leaves() or self.unread or self.exchanges[-1] is not exchange:
             return False
         self.ended = True
         return True
@@ -333,7 +335,7 @@
             if now - self.begun > READ_WITHIN:
                 self.break_off(408, "the request did not come whole in time")
         elif self.is_idle():
-            limit = idle_limit if self.used else READ_WITHIN
+            limit = idle_limit if self.used else min(idle_limit, READ_WITHIN)
             if now - self.idle_since > limit and self.is_quiet():
                 self.drop()
 
@@ -370,17 +372,45 @@
         self.listener: socket.socket | None = None
         self.again: asyncio.TimerHandle | None = None
         self.stopping = False
+        self.address: tuple[str, int] | None = None
+        self.shares = False  # another process of this gateway may listen at the same address
+        self.emptied_since: float | None = None  # staff have it drained
+        self.handed_since: float | None = None  # another process takes the new clients in
         self.sweeper = self.loop.call_later(SWEEP_EVERY, self.sweep)
 
     def is_ready(self) -> bool:
-        return not self.stopping and self.serves()
+        return not self.stopping and self.emptied_since is None and self.serves()
+
+    def empty(self, on: bool) -> None:
+        """Drains this gateway: no yes to who asks if it is ready, and clients are let go, or ends that."""
+        self.emptied_since = (self.emptied_since or self.clock()) if on else None
+
+    def hand_over(self) -> None:
+        """Another process takes the new clients in from now on; those here are let go as they can be."""
+        self.handed_since = self.clock()
+        self.stop_listening()
+
+    def take_back(self) -> None:
+        """That process is gone: this one goes on as before."""
+        self.handed_since = None
+        if self.listener is None and self.address is not None and not self.stopping:
+            self.listen(self.address)
+
+    def leaves(self) -> bool:
+        """True while clients are to go: their next answer here is the last on its connection."""
+        since = self.emptied_since
+        emptied = since is not None and self.clock() - since > CLOSING_FROM
+        return self.stopping or emptied or self.handed_since is not None
 
     def listen(self, address: tuple[str, int]) -> None:
         listener = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if self.shares:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         listener.setblocking(False)
         listener.bind(address)
         listener.listen(BACKLOG)
+        self.address = listener.getsockname()[:2]
         self.listener = listener
         self.loop.add_reader(listener, self.accept)
 
@@ -426,9 +456,11 @@
     def sweep(self) -> None:
         self.sweeper.cancel()
         now = self.clock()
-        full = len(self.connections) >= FULL_FROM * self.most
+        limit = IDLE_LIMIT_FULL if len(self.connections) >= FULL_FROM * self.most else IDLE_LIMIT
+        if self.leaves() and not self.stopping:
+            limit = LEAVE_IDLE
         for connection in list(self.connections):
-            connection.look_after(now, IDLE_LIMIT_FULL if full else IDLE_LIMIT)
+            connection.look_after(now, limit)
         self.sweeper = self.loop.call_later(SWEEP_EVERY, self.sweep)
 
     def pause(self) -> None:
--- a/embersill/net/driver.py
+++ b/embersill/net/driver.py
@@ -11,16 +11,19 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from embersill.interface import (
-    Action, AttemptEnded, Backend, BackendList, Cancel, ClientLeft, Count, Counted, Event, Fail, Outcome,
-    Refuse, Request, Send, SetTimer, Settings, Status, TimerDue,
+    Action, AttemptEnded, Backend, BackendList, Cancel, ClientLeft, Count, Counted, Event, Fail, Held,
+    Outcome, Refuse, Request, Send, SetTimer, Settings, Status, TimerDue,
 )
 from embersill.net.backends import Answer, Attempt, Pool
 from embersill.net.deadlines import Deadline
 from embersill.net.discovery import Listing
 
+if TYPE_CHECKING:
+    from embersill.service.figures import Figures
+
 EARLY = 0.1  # seconds before the client's end at which the module takes a request to be over: the budget
 # runs from the client's send, the answer has its way back, and the core may be busy with another gateway
 GUARD = 0.05  # seconds before the client's end at which an unanswered request is failed by the guard
@@ -103,6 +106,8 @@
         self.taken = 0
         self.all_answered = asyncio.Event()
         self.serving: set[str] = set()  # backends that the list shows as serving
+        self.listed: set[str] = set()  # these and those that drain
+        self.figures: Figures | None = None
         self.events: deque[tuple[Event, float]] = deque()
         self.handling = False
         self.carry: dict[type, Callable[..., None]] = {
@@ -157,8 +162,19 @@
             named = {b.address for b in backends}
             self.pool.forget_others(named)
             self.serving &= named
+            self.listed &= named
+        for backend in backends:
+            if backend.status is Status.GONE:
+                self.listed.discard(backend.address)
+            else:
+                self.listed.add(backend.address)
         self.post(BackendList(listing.kind, tuple(backends)))
 
+    def hold(self, held: Held) -> None:
+        """Staff's word on a backend: nothing that waits to be written goes there any more."""
+        self.post(held)
+        self.pool.rest_line(held.backend)
+
     def counter_told(self, counted: Counted) -> None:
         self.post(counted)
 
@@ -271,6 +287,8 @@
         if pending.guard is not None:
             pending.guard.cancel()
         exchange, pending.exchange = pending.exchange, None
+        if status and self.figures is not None:
+            self.figures.count(pending.call.klass, status)
         if status and exchange is not None:
             exchange.answer(status, body, headers)
         for attempt in pending.attempts:
--- a/embersill/roles.py
+++ b/embersill/roles.py
@@ -9,7 +9,7 @@
 import signal
 import time
 from collections.abc import Callable
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from embersill.configuration.platform import BadConfiguration, Configuration, read_configuration
 from embersill.control import Gateway
@@ -20,6 +20,9 @@
 from embersill.net.driver import Decider, Driver
 from embersill.pacing import Pace
 
+if TYPE_CHECKING:
+    from embersill.service.running import Operations
+
 RESERVE = 64  # descriptors kept for the listener, discovery, the counter, and what the run-time itself needs
 RESERVE_PART = 0.25  # of the descriptors, at most, that this may be
 CLIENTS_PART = 0.6  # of the other descriptors: held requests need none at the backends' side
@@ -82,7 +85,8 @@
         free = told.sockets - min(RESERVE, int(told.sockets * RESERVE_PART))
         clients = int(free * CLIENTS_PART)
         self.pool = Pool(clock, told.limits.dial_timeout, told.limits.keepalive, free - clients)
-        self.driver = Driver(decider or Gateway(told.settings, told.seed, clock()), clock, self.pool)
+        decides = decider or Gateway(told.settings, told.seed, clock())
+        self.driver = Driver(decides, clock, self.pool)
         if told.counter is not None and (counts or decider is None):
             self.driver.counter = Counter(
                 clock, told.counter, told.settings.counter_patience, told.limits.dial_timeout,
@@ -95,6 +99,13 @@
         self.listen, self.settings = told.listen, told.settings
         self.filed = told.discovery_filed, told.counter
         self.settled = False  # the list is discovery's own, or as good as can be had
+        self.operator = told.operator
+        self.operations: Operations | None = None
+        if told.operator is not None:
+            from embersill.service.running import Operations  # only where the platform names its address
+            avoided = decides.avoided if isinstance(decides, Gateway) else lambda: 0
+            self.operations = Operations(self, told.name, avoided)
+            self.front.shares = True
 
     def serves(self) -> bool:
         return self.settled and bool(self.driver.serving)
@@ -103,11 +114,16 @@
         await run_until_told(self)
 
     async def start(self) -> None:
+        if self.operations is not None:
+            self.operations.begin()
+            await self.operations.start()
         self.front.listen(self.listen)
         self.discovery.start()
         if self.settings.list_pushed or not self.driver.serving:
             await wait_first_list(self.discovery)
         self.settled = True
+        if self.operations is not None:
+            self.operations.serving()
 
     def reload(self) -> None:
         """Moves discovery and counter to where the file says now; without a usable file nothing changes."""
@@ -127,6 +143,8 @@
     async def stop(self, still_coming: float = STILL_COMING, all_answered: float = ALL_ANSWERED) -> None:
         """Takes what still comes, answers all of it, and leaves nothing behind."""
         self.front.stopping = True
+        if self.operations is not None and self.operations.succeeded():
+            still_coming = 0.0  # new clients come to the process that follows
         await asyncio.sleep(still_coming)
         self.front.stop_listening()
         await asyncio.sleep(LAST_READ)
@@ -136,6 +154,8 @@
         self.front.close_idle()
         await self.front.wait_drained(LAST_BYTES)
         self.front.close()
+        if self.operations is not None:
+            self.operations.close()
         self.discovery.stop()
         self.pool.close()
         if self.driver.counter is not None:
--- a/embersill/throttle.py
+++ b/embersill/throttle.py
@@ -53,6 +53,14 @@
         # out: name, units asked for, amount to keep, number
         self.calls: deque[tuple[str, float, float, int]] = deque()
 
+    def set_ceiling(self, part: float, now: float) -> None:
+        """The part of the ceiling that is this process's from now on; what it holds beyond that is gone."""
+        self.refill(now)
+        self.cap_depth, self.cap_rate = self.plan.ceiling_depth * part, self.plan.ceiling_rate * part
+        self.cap = min(self.cap, self.cap_depth)
+        self.charges.clear()
+        self.cap_base = self.cap, self.stamp
+
     def refill(self, now: float) -> None:
         self.level = max(self.level, min(self.level + self.rate * (now - self.stamp), self.bank - self.held))
         self.cap = min(self.cap_depth, self.cap + self.cap_rate * (now - self.stamp))
@@ -98,11 +106,8 @@
     def allot(self, part: Allotted, now: float) -> None:
         """Sets the parts of quota and ceiling, and what is left of each where that is told."""
         self.set_share(max(part.share, LEAST_PART), now)
-        ceiling = max(part.ceiling, LEAST_PART)
-        self.cap_depth, self.cap_rate = self.plan.ceiling_depth * ceiling, self.plan.ceiling_rate * ceiling
-        self.cap = min(self.cap if part.cap is None else part.cap, self.cap_depth)
-        self.charges.clear()
-        self.cap_base = self.cap, self.stamp
+        self.cap = self.cap if part.cap is None else part.cap
+        self.set_ceiling(max(part.ceiling, LEAST_PART), now)
         if part.level is not None:
             self.level = min(part.level, self.bank) - self.held
 
--- a/embersill/work.py
+++ b/embersill/work.py
@@ -43,7 +43,8 @@
 
     def __init__(self, backend: Backend, limit: float, now: float) -> None:
         self.backend, self.touched = backend, now
-        self.warm = backend.started is None  # for good: a restarted backend is a new one
+        self.started = backend.started  # or when staff put it back, which may have restarted it
+        self.warm = self.started is None  # for good: a restarted backend is a new one
         self.flight = self.overdue = 0  # attempts out, and those of them that are late already
         self.forget = FORGET  # seconds in which that halves
         self.proven = False  # it has served a request from here, and failed none since
@@ -53,7 +54,7 @@
 
     def cold_share(self, now: float, settings: Settings) -> float:
         """The least part of its capacity that it has now; 1 once it must be warm."""
-        age = settings.warm_within if self.backend.started is None else max(0.0, now - self.backend.started)
+        age = settings.warm_within if self.started is None else max(0.0, now - self.started)
         if age >= settings.warm_within:
             self.warm = True
             return 1.0
--- a/tests/bed.py
+++ b/tests/bed.py
@@ -86,6 +86,7 @@
         self.backends = [BackendPeer() for _ in range(backends)]
         self.discovery, self.counter = DiscoveryPeer(), CounterPeer()
         self.port = 0
+        self.operator = ""  # the address of the door for staff, if there is to be one
         self.program: Program
 
     async def start(self, env: dict[str, Any], sockets: int) -> None:
@@ -94,9 +95,9 @@
         entries = [self.discovery.entry(f"b{n}", b.address) for n, b in enumerate(self.backends)]
         self.discovery.entries = {e["instanceId"]: e for e in entries}
         told = self.told(env, sockets)
-        configuration = build_configuration(told, {})
+        configuration = build_configuration(told, {"RELAY_OPERATOR": self.operator})
         self.program = Program(configuration)
-        self.program.listen = (HOST, 0)
+        self.program.listen = (HOST, self.port)
         await self.program.start()
         assert self.program.front.listener is not None
         self.port = self.program.front.listener.getsockname()[1]
@@ -131,9 +132,10 @@
 
 @asynccontextmanager
 async def running(
-    backends: int = 1, env: dict[str, Any] | None = None, sockets: int = 1024
+    backends: int = 1, env: dict[str, Any] | None = None, sockets: int = 1024, operator: str = ""
 ) -> AsyncIterator[Bed]:
     bed = Bed(backends)
+    bed.operator = operator
     await bed.start(env or roomy_settings(), sockets)
     try:
         yield bed
