Bodies over 64 KiB: answers passed on while they come, requests in a bounded room

Change, only where the second address is named: an answer over 64 KiB goes on as it comes, with back-pressure from the client to the backend (Sink, Exchange.begin); the module hears StreamBegun, frees the backend of it and learns from its first bytes, not its last; half an answer cuts its connection. Requests over 64 KiB are kept in the pieces in which they came, in 0.3 of the memory for all; past it 503, unsent. Rejected: passing a request's body on while it comes: an attempt would be out as long as a client writes, and a backend that fails in the midst of it would end a request that can be tried again whole.

--- a/embersill/configuration/platform.py
+++ b/embersill/configuration/platform.py
@@ -28,6 +28,7 @@
     operator: tuple[str, int] | None  # where staff's calls are taken; None: nowhere
     seed: int
     sockets: int
+    memory: int  # bytes that all processes of the gateway may use together
     known: Listing
     settings: Settings
     limits: Limits
@@ -64,7 +65,7 @@
         discovery=read_address(environ.get("RELAY_DISCOVERY") or told["discovery"]),
         discovery_filed=read_address(told["discovery"]) if "discovery" in told else None,
         counter=counter, operator=read_address(operator) if operator else None,
-        seed=int(told["seed"], 16), sockets=sockets,
+        seed=int(told["seed"], 16), sockets=sockets, memory=int(told["limits"]["memory_mb"] * 1_000_000),
         known=read_listing(told["known"], ListKind.REMEMBERED), settings=settings,
         limits=read_limits(told["settings"]),
     )
--- a/embersill/control.py
+++ b/embersill/control.py
@@ -110,8 +110,17 @@
         return self.actions
 
     def stream_begun(self, event: StreamBegun) -> None:
-        if event.request in self.jobs:
-            self.jobs[event.request].streaming = True
+        """The answer is on its way to the client: nothing else ends the request, and it is late no more."""
+        job = self.jobs.get(event.request)
+        if job is None or job.streaming or not 0 <= event.attempt < len(job.attempts):
+            return
+        job.streaming = True
+        attempt = job.attempts[event.attempt]
+        if attempt.out and not attempt.begun:
+            attempt.begun = True  # its backend is free of it, as far as limits and costs are concerned
+            attempt.server.flight -= 1
+            attempt.server.overdue -= attempt.overdue
+            self.flight -= not attempt.overdue
 
 
     def arrive(self, request: Request) -> None:
@@ -623,7 +632,7 @@
         watched = self.late.get(klass, ())
         while watched and (watched[0][0] <= self.now + EPS or not watched[0][1].out):
             _, attempt = watched.popleft()
-            if attempt.out:
+            if attempt.out and not attempt.begun:
                 self.attempt_late(attempt)
         if watched:
             self.actions.append(SetTimer(max(watched[0][0] - self.now, EPS), "o" + klass))
@@ -641,9 +650,10 @@
             return
         attempt = job.attempts[event.attempt]
         attempt.out, attempt.unrun = False, event.outcome.never_ran
-        attempt.server.flight -= 1
-        attempt.server.overdue -= attempt.overdue
-        self.flight -= not attempt.overdue
+        if not attempt.begun:
+            attempt.server.flight -= 1
+            attempt.server.overdue -= attempt.overdue
+            self.flight -= not attempt.overdue
         job.out -= 1
         job.throttle.open -= 1
         if len(job.attempts) == 1:
--- a/embersill/lab/losses.py
+++ b/embersill/lab/losses.py
@@ -12,7 +12,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-LINE = re.compile(r"(?:\d+\.\d+ )?(\d+\.\d+)\t(.*)")  # a log may put its own time ahead
+LINE = re.compile(r"(?:\[?\d+\.\d+\]? )?(\d+\.\d+)\t(.*)")  # a log may put its own time ahead
 AGES = (0.0, 2.0, 4.0, 8.0, 16.0)  # seconds since a backend's start, from
 
 
--- a/embersill/net/backends.py
+++ b/embersill/net/backends.py
@@ -20,7 +20,9 @@
 
 MOST_BODY = 64 * 1024  # bytes of an answer's body, by the protocol
 MOST_HEAD = 32 * 1024  # bytes before the body, interim answers too: a sound backend sends a hundredth of it
-MOST_ANSWER = MOST_HEAD + 2 * MOST_BODY  # bytes in all: chunks may bring their framing along, within reason
+MOST_STREAM = 32 * 1024 * 1024  # bytes of an answer's body where bodies over 64 KiB are passed on in pieces
+SLOW_STALLED = 2.0  # seconds without a byte, there: backends write as slowly as they like
+STREAM_STALLED = 10.0  # the same once it is being passed on, when giving up loses the request
 STALLED = 0.5  # seconds that the rest of an answer may take once it has begun: what it has is ready by then
 RESTED = 0.01  # seconds unused before another request goes out: what comes behind an answer shows by then
 IDLE_PART = 0.5  # of the backends' idle limit after which a connection is closed here: well before theirs
@@ -40,9 +42,22 @@
     headers: bytes = b""  # header lines that tell how to read the body
 
 
+class Sink(Protocol):
+    """Where an answer goes that is passed on while it comes."""
+
+    def more(self, data: bytes) -> bool:
+        """Takes a piece; False if no further ones may come until the source is told to go on."""
+        ...
+
+
 class Owner(Protocol):
     """Who wants to know how an attempt ended."""
 
+    def attempt_began(self, attempt: Attempt, headers: bytes, length: int | None,
+                      source: BackendConnection) -> Sink | None:
+        """An answer of more than 64 KiB begins; None if nobody wants it any more."""
+        ...
+
     def attempt_ended(self, attempt: Attempt, answer: Answer) -> None: ...
 
 
@@ -50,8 +65,8 @@
     """One attempt: what to write, where to, and what became of it. Its owner hears of the end just once."""
 
     __slots__ = (
-        "backend", "body", "connection", "dial", "head", "owner", "place", "sent_at", "timer", "until",
-        "write_by",
+        "backend", "began_at", "body", "connection", "dial", "head", "owner", "place", "rest", "sent_at",
+        "timer", "until", "write_by",
     )
 
     def __init__(
@@ -61,6 +76,8 @@
         self.backend, self.head, self.body = backend, head, body
         self.sent_at, self.until, self.place, self.write_by = sent_at, until, place, write_by
         self.owner: Owner | None = owner
+        self.rest: list[bytes] | None = None  # the body in its pieces, where it is over 64 KiB
+        self.began_at = 0.0  # when its answer began to be passed on
         self.connection: BackendConnection | None = None
         self.dial: asyncio.Task[None] | None = None
         self.timer: Deadline | None = None
@@ -127,12 +144,16 @@
         self.stall: asyncio.TimerHandle | None = None
         self.idle_since = self.rested = 0.0  # since when it is unused, and how long it was before
         self.unsent = False  # the kernel has not yet taken all of the request
+        self.paused = False  # the client has no room for what would come
         self.parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self.start_answer()
 
     def start_answer(self) -> None:
         self.taken = self.status = 0
         self.complete = self.keep = self.surplus = self.garbled = self.begun = self.in_body = False
+        self.length: int | None = None
+        self.chunked = False
+        self.sink: Sink | None = None
         self.start_message()
 
     def start_message(self) -> None:
@@ -160,6 +181,8 @@
         self.start_answer()
         self.pool.tries += 1
         self.transport.write(b"%bX-Budget: %.3f\r\n\r\n%b" % (attempt.head, wait, attempt.body))
+        if attempt.rest:
+            self.transport.writelines(attempt.rest)
 
     def give_up(self, attempt: Attempt) -> None:
         """Closing is how a backend is told that nobody waits for the attempt any more."""
@@ -197,7 +220,13 @@
             self.units = read_units(value)
         elif name == b"content-length":
             # one that is declared too long is not waited for
-            self.garbled = self.garbled or not value.isdigit() or int(value) > MOST_BODY
+            if value.isdigit():
+                self.length = length = int(value)
+                self.garbled = self.garbled or length > self.pool.most_body
+            else:
+                self.garbled = True
+        elif name == b"transfer-encoding":
+            self.chunked = True
         elif name in (b"content-type", b"content-encoding"):
             self.headers += b"%b: %b\r\n" % (name.title(), value)
 
@@ -207,7 +236,7 @@
     def on_body(self, body: bytes) -> None:
         if not self.complete:
             self.size += len(body)
-            if self.size <= MOST_BODY:
+            if self.size <= self.pool.most_body:
                 self.parts.append(body)
 
     def on_message_complete(self) -> None:
@@ -227,13 +256,56 @@
             return self.close()  # nothing was asked, or more came than belonged to the answer
         self.taken += len(data)
         self.parse(data)
+        if self.pool.streams and self.sink is None and not self.complete and self.is_long():
+            self.begin_stream(attempt)
+        if self.sink is not None and self.attempt is attempt:
+            self.pass_on(self.sink)
+        if self.attempt is not attempt:
+            return  # its client has gone meanwhile
         if self.complete:
             self.finish(attempt)
         elif self.is_spoilt():
             # a backend that answers at all may have run the request, however odd the answer is
             attempt.end(Answer(Outcome.BROKEN))
-        elif self.begun and self.stall is None:
-            self.stall = self.pool.loop.call_later(STALLED, self.has_stalled, attempt)
+        elif self.begun and (self.stall is None or self.pool.streams):
+            if self.stall is not None:
+                self.stall.cancel()
+            self.stall = self.pool.loop.call_later(self.patience(), self.has_stalled, attempt)
+
+    def is_long(self) -> bool:
+        """True if this is a good answer, over 64 KiB by its length or by what has come of it."""
+        if not self.in_body or self.garbled or self.parser is None:
+            return False
+        return self.parser.get_status_code() == 200 and max(self.length or 0, self.size) > MOST_BODY
+
+    def begin_stream(self, attempt: Attempt) -> None:
+        owner = attempt.owner
+        if owner is None:
+            return
+        attempt.began_at = self.pool.clock()
+        if attempt.timer is not None:
+            attempt.timer.cancel()  # what begins in time is passed on to its end
+        length = None if self.chunked else self.length
+        self.sink = owner.attempt_began(attempt, self.headers, length, self)
+        if self.sink is None:
+            attempt.end(Answer(Outcome.CANCELLED))
+
+    def pass_on(self, sink: Sink) -> None:
+        parts, self.parts = self.parts, []
+        if parts and not sink.more(b"".join(parts)) and not self.complete and self.transport is not None:
+            self.paused = True
+            self.transport.pause_reading()
+
+    def go_on(self) -> None:
+        """The client has room for more."""
+        if self.paused and self.usable() and self.transport is not None:
+            self.paused = False
+            self.transport.resume_reading()
+
+    def patience(self) -> float:
+        if not self.pool.streams:
+            return STALLED
+        return STREAM_STALLED if self.sink is not None else SLOW_STALLED
 
     def parse(self, data: bytes) -> None:
         while self.parser is not None and data:
@@ -247,21 +319,27 @@
                 return
 
     def is_spoilt(self) -> bool:
-        too_long = self.taken > (MOST_ANSWER if self.in_body else MOST_HEAD) or self.size > MOST_BODY
-        return self.garbled or too_long
+        # chunks may bring their framing along, within reason
+        most = MOST_HEAD + 2 * self.pool.most_body if self.in_body else MOST_HEAD
+        return self.garbled or self.taken > most or self.size > self.pool.most_body
 
     def has_stalled(self, attempt: Attempt) -> None:
         # half an answer whose rest does not come is spoilt; while it is waited for, another try could help
         self.stall = None
-        if self.attempt is attempt:
+        if self.attempt is not attempt:
+            return
+        if self.paused:  # it is the client that does not take it, and who looks after that one sees to it
+            self.stall = self.pool.loop.call_later(self.patience(), self.has_stalled, attempt)
+        else:
             attempt.end(Answer(Outcome.BROKEN))
 
     def finish(self, attempt: Attempt) -> None:
         if self.stall is not None:
             self.stall.cancel()
             self.stall = None
-        whole = self.size <= MOST_BODY
+        whole = self.size <= self.pool.most_body
         parts, self.parts = self.parts, []
+        self.sink = None
         # the connection is free before anybody hears of the answer: the next attempt may want it
         if whole and self.keep and not (self.unsent or self.surplus or self.garbled):
             self.attempt = attempt.connection = None
@@ -277,6 +355,13 @@
             attempt.end(Answer(Outcome.ERROR))
 
     def eof_received(self) -> bool:
+        attempt = self.attempt
+        delimited = self.length is None and not self.chunked
+        if self.pool.streams and attempt is not None and self.in_body and delimited and not self.garbled:
+            # an answer with neither length nor chunks is whole when the backend ends the connection in order
+            if not self.complete and self.parser is not None:
+                self.complete, self.keep, self.status = True, False, self.parser.get_status_code()
+                self.finish(attempt)
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -313,6 +398,7 @@
         self, clock: Callable[[], float], dial_timeout: float, keepalive: float, most: int
     ) -> None:
         self.clock, self.dial_timeout, self.most = clock, dial_timeout, most
+        self.streams, self.most_body = False, MOST_BODY
         self.idle_limit = self.most_idle = keepalive * IDLE_PART
         self.loop = asyncio.get_running_loop()
         self.deadlines = Deadlines(self.loop, lambda: self.clock())
@@ -322,6 +408,10 @@
         self.tries = 0  # attempts written whole to backends
         self.sweeper = self.loop.call_later(SWEEP_EVERY, self.sweep)
 
+    def pass_long_answers(self) -> None:
+        """Bodies over 64 KiB occur, and are passed on while they come."""
+        self.streams, self.most_body = True, MOST_STREAM
+
     def set_address(self, backend: str, address: tuple[str, int], started: float | None = None) -> None:
         """Where a backend listens; connections to where it was, or to before its restart, are of no use."""
         line = self.lines.get(backend)
--- a/embersill/net/calls.py
+++ b/embersill/net/calls.py
@@ -57,7 +57,8 @@
         self.gateways, self.most_units = settings.gateways, settings.most_units
 
     def read(self, received: float, method: bytes, target: bytes, headers: dict[bytes, bytes],
-             body: bytes) -> Call:
+             body: bytes, rest: list[bytes] | None = None, size: int = 0) -> Call:
+        """`rest` holds a body of `size` bytes that is too long to be made one piece."""
         customer = self.customer(target)
         klass = self.classes.get((headers.get(b"x-call-class") or b"").decode("latin-1"))
         if klass is None:
@@ -70,7 +71,7 @@
         if plan not in self.plans:
             self.needed(headers, b"plan")
             raise BadRequest(400, "Plan names no plan")
-        if body and method == b"GET":
+        if (body or rest) and method == b"GET":
             raise BadRequest(400, "a GET with a body")
         units, width, first = read_quota(headers.get(b"quota-info") or self.needed(headers, b"quota-info"))
         if not (0 < units <= self.most_units and 1 <= width <= self.gateways and first < self.gateways):
@@ -82,10 +83,10 @@
         return Call(
             call_id, received, budget, klass.name, plan, customer, units, width, first,
             headers.get(b"x-again") == b"1",
-            self.head(method, target, call_id, headers, klass.repeats, body), body)
+            self.head(method, target, call_id, headers, klass.repeats, body, size), body, rest)
 
     def head(self, method: bytes, target: bytes, call_id: bytes, headers: dict[bytes, bytes],
-             repeats: Repeats, body: bytes) -> bytes:
+             repeats: Repeats, body: bytes, size: int) -> bytes:
         """What goes on to a backend, unchanged; the budget is the gateway's own and comes last."""
         head = b"%b %b HTTP/1.1\r\nHost: %b\r\nX-Call-Id: %b\r\n" % (
             method, target, headers.get(b"host", b"backend.local"), call_id)
@@ -94,7 +95,7 @@
         elif b"idempotency-key" in headers:
             raise BadRequest(400, "Idempotency-Key on a class that carries none")
         if method != b"GET":
-            head += b"Content-Length: %d\r\n" % len(body)
+            head += b"Content-Length: %d\r\n" % (size or len(body))
             if b"content-type" in headers:
                 head += b"Content-Type: %b\r\n" % headers[b"content-type"]
         return head
--- a/embersill/net/clients.py
+++ b/embersill/net/clients.py
@@ -15,6 +15,7 @@
 import httptools
 
 from embersill.interface import Settings
+from embersill.net.backends import BackendConnection
 from embersill.net.calls import BadRequest, CallReader
 from embersill.net.driver import Driver
 
@@ -34,6 +35,9 @@
 MAKE_WAY = 16  # connections at most that make way at one look: the look costs more than they do
 BACKLOG = 1024
 ACCEPT_AGAIN = 0.02  # seconds until the next try where no descriptor was left for a connection
+SLOW_WITHIN = 3.0  # the same where clients take up to 2 s for a head
+LEAST_PACE = 32 * 1024  # bytes a second of a body that come in any case: time is given for what has come
+STREAM_BUFFER = 64 * 1024  # bytes of the kernel's buffer for a client to which a long answer is passed on
 CLOSING_FROM = 0.3  # seconds after a drain begins from which clients are told to go: new ones stop by then
 LEAVE_IDLE = 0.4  # seconds unused from which a connection is closed while the gateway is emptied
 ACCEPTS = 64  # connections taken in at one go, so that those at hand get their turn
@@ -53,12 +57,36 @@
 class Exchange:
     """One request on a connection and its answer, which goes out when those before it have gone."""
 
-    __slots__ = ("connection", "keep", "number", "text")
+    __slots__ = ("chunked", "connection", "keep", "number", "reserved", "source", "text")
 
     def __init__(self, connection: ClientConnection, keep: bool) -> None:
         self.connection, self.keep = connection, keep
         self.number = 0  # the driver's name for it, if it was taken
         self.text: bytes | None = None
+        self.source: BackendConnection | None = None  # from which the rest of the answer is still to come
+        self.chunked, self.reserved = False, 0
+
+    def begin(self, headers: bytes, length: int | None, source: BackendConnection) -> Exchange:
+        self.keep = self.keep and not self.connection.ends_with(self)
+        self.source, self.chunked = source, length is None
+        framing = b"Transfer-Encoding: chunked" if length is None else b"Content-Length: %d" % length
+        close = b"" if self.keep else b"Connection: close\r\n"
+        self.text = b"HTTP/1.1 200 OK\r\n%b%b%b\r\n\r\n" % (headers, close, framing)
+        self.connection.hold_little()
+        self.connection.flush()
+        return self
+
+    def more(self, data: bytes) -> bool:
+        self.text = (self.text or b"") + (b"%x\r\n%b\r\n" % (len(data), data) if self.chunked else data)
+        self.connection.flush()
+        return self.connection.has_room_for(self)
+
+    def done(self, whole: bool) -> None:
+        self.source = None
+        if not whole:
+            return self.connection.cut_short(self)
+        self.text = (self.text or b"") + (b"0\r\n\r\n" if self.chunked else b"")
+        return self.connection.flush()
 
     def answer(self, status: int, body: bytes, headers: bytes = b"") -> None:
         if self.text is not None:
@@ -86,6 +114,7 @@
         self.used = False  # a request was begun on it: empty lines are none
         self.paused = self.ended = self.closing = self.stuck = self.parsing = False
         self.in_request, self.in_head, self.head_size = False, False, 0
+        self.reserved = 0  # bytes of the room for long bodies
         self.start_request()
 
     def start_request(self) -> None:
@@ -93,6 +122,9 @@
         self.headers: dict[bytes, bytes] = {}
         self.body: list[bytes] = []
         self.bad: BadRequest | None = None
+        if self.reserved:  # by one that was not read to its end
+            self.front.give_back(self.reserved)
+            self.reserved = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is one in all but its bases
@@ -120,24 +152,36 @@
     def on_headers_complete(self) -> None:
         self.in_head = False
         length = self.headers.get(b"content-length", b"")
-        if length.isdigit() and int(length) > MOST_BODY:
-            self.bad = BadRequest(413, "the body is over 64 KiB")
+        if length.isdigit() and int(length) > MOST_BODY and not self.reserve(int(length)):
+            pass
         elif b"expect" in self.headers and not self.exchanges and self.transport is not None:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
         self.body_size += len(body)
-        if self.body_size > MOST_BODY:
-            self.bad = BadRequest(413, "the body is over 64 KiB")
-        else:
+        if self.body_size <= MOST_BODY or self.body_size <= self.reserved:
+            self.body.append(body)
+        elif self.bad is None and self.reserve(self.body_size - self.reserved + MOST_BODY):
             self.body.append(body)
 
+    def reserve(self, size: int) -> bool:
+        """Room for a long body, or for more of it. Where there is none the request is turned away, unsent."""
+        if self.front.take_room(size):
+            self.reserved += size
+            return True
+        fits = self.reserved + size <= self.front.room_in_all
+        self.bad = BadRequest(503, "too many long bodies at a time") if fits else BadRequest(
+            413, "the body is over 64 KiB" if not self.front.room_in_all else "the body is too long")
+        self.body.clear()
+        return False
+
     def on_message_complete(self) -> None:
         self.in_request = False
         if self.ended or self.parser is None:
             return
         keep = self.parser.should_keep_alive() and self.parser.get_http_version() == "1.1"
         exchange = Exchange(self, keep)
+        exchange.reserved, self.reserved = self.reserved, 0
         self.exchanges.append(exchange)
         self.ended = not keep  # nothing after it is read
         try:
@@ -168,7 +212,11 @@
             if method not in (b"GET", b"POST"):
                 raise BadRequest(405, "only GET and POST", b"Allow: GET, POST\r\n")
             front = self.front
-            call = front.reader.read(self.received, method, self.target, self.headers, b"".join(self.body))
+            body, rest, size = self.body, None, 0
+            if self.body_size > MOST_BODY:
+                body, rest, size = [], self.body, self.body_size
+            call = front.reader.read(
+                self.received, method, self.target, self.headers, b"".join(body), rest, size)
             if front.driver.is_open(call.id):  # an answer to the one would end the other
                 raise BadRequest(409, "a request with this X-Call-Id is open")
             exchange.number = front.driver.take(call, exchange)
@@ -210,8 +258,8 @@
             self.ended = True  # the answer to the request itself has been or will be given
         self.parsing = False
         self.head_size += len(piece) if self.in_head else 0
-        if self.bad is not None and self.bad.status == 413 and self.in_request:
-            self.break_off(413, str(self.bad))
+        if self.bad is not None and self.bad.status in (413, 503) and self.in_request:
+            self.break_off(self.bad.status, str(self.bad))
         elif self.head_size > MOST_HEAD:
             self.break_off(431, "the head is over 32 KiB")
 
@@ -245,6 +293,8 @@
 
     def resume_writing(self) -> None:
         self.stuck = False
+        if self.exchanges and self.exchanges[0].source is not None:
+            self.exchanges[0].source.go_on()
         self.read_on()
 
     def flush(self) -> None:
@@ -252,8 +302,17 @@
         if self.transport is None:
             return
         while self.exchanges and self.exchanges[0].text is not None:
-            exchange = self.exchanges.popleft()
-            self.transport.write(exchange.text or b"")
+            exchange = self.exchanges[0]
+            if exchange.text:
+                self.transport.write(exchange.text)
+            if exchange.source is not None:
+                exchange.text = b""
+                if not self.stuck:
+                    exchange.source.go_on()
+                return self.pace()
+            self.exchanges.popleft()
+            if exchange.reserved:
+                self.front.give_back(exchange.reserved)
             if not exchange.keep:
                 return self.end()
         self.idle_since = self.front.clock()
@@ -263,6 +322,21 @@
             return self.read_on()
         return self.pace()
 
+    def hold_little(self) -> None:
+        """Keeps the kernel's buffer small: it tells of a slow reader's progress often, and holds little."""
+        if self.transport is not None:
+            sock = self.transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, STREAM_BUFFER)
+
+    def has_room_for(self, exchange: Exchange) -> bool:
+        return not self.stuck and bool(self.exchanges) and self.exchanges[0] is exchange
+
+    def cut_short(self, exchange: Exchange) -> None:
+        """An answer that can't be finished: the client sees its connection end in the midst of it."""
+        if self.transport is not None:
+            self.ended = self.closing = True
+            self.transport.abort()
+
     def end(self) -> None:
         """Closes after the last answer; the peer may have more on its way, which must not cut it off."""
         self.ended = True
@@ -295,8 +369,10 @@
         if self.rest is not None:
             self.rest.cancel()
         exchanges, self.exchanges = self.exchanges, deque()
+        self.front.give_back(self.reserved + sum(e.reserved for e in exchanges))
+        self.reserved = 0
         for exchange in exchanges:
-            if exchange.number and exchange.text is None:
+            if exchange.number and (exchange.text is None or exchange.source is not None):
                 self.front.driver.client_left(exchange.number)
 
     def ends_with(self, exchange: Exchange) -> bool:
@@ -304,7 +380,10 @@
 
         Said any earlier, it would leave those that were sent behind it without theirs.
         """
-        if not self.front.leaves() or self.unread or self.exchanges[-1] is not exchange:
+        front = self.front
+        if not front.stopping and front.emptied_since is None and front.handed_since is None:
+            return False
+        if not front.leaves() or self.unread or self.exchanges[-1] is not exchange:
             return False
         self.ended = True
         return True
@@ -332,10 +411,10 @@
             if now - self.stuck_since > UNREAD_LIMIT:
                 self.drop()
         elif self.in_request and not (self.exchanges or self.unread):
-            if now - self.begun > READ_WITHIN:
+            if now - self.begun > self.front.read_within + self.body_size / LEAST_PACE:
                 self.break_off(408, "the request did not come whole in time")
         elif self.is_idle():
-            limit = idle_limit if self.used else min(idle_limit, READ_WITHIN)
+            limit = idle_limit if self.used else min(idle_limit, self.front.read_within)
             if now - self.idle_since > limit and self.is_quiet():
                 self.drop()
 
@@ -374,6 +453,8 @@
         self.stopping = False
         self.address: tuple[str, int] | None = None
         self.shares = False  # another process of this gateway may listen at the same address
+        self.read_within = READ_WITHIN
+        self.room_in_all = self.room = 0  # bytes of bodies over 64 KiB that are held at a time
         self.emptied_since: float | None = None  # staff have it drained
         self.handed_since: float | None = None  # another process takes the new clients in
         self.sweeper = self.loop.call_later(SWEEP_EVERY, self.sweep)
@@ -381,6 +462,15 @@
     def is_ready(self) -> bool:
         return not self.stopping and self.emptied_since is None and self.serves()
 
+    def take_room(self, size: int) -> bool:
+        if size > self.room:
+            return False
+        self.room -= size
+        return True
+
+    def give_back(self, size: int) -> None:
+        self.room += size
+
     def empty(self, on: bool) -> None:
         """Drains this gateway: no yes to who asks if it is ready, and clients are let go, or ends that."""
         self.emptied_since = (self.emptied_since or self.clock()) if on else None
--- a/embersill/net/driver.py
+++ b/embersill/net/driver.py
@@ -15,9 +15,9 @@
 
 from embersill.interface import (
     Action, AttemptEnded, Backend, BackendList, Cancel, ClientLeft, Count, Counted, Event, Fail, Held,
-    Outcome, Refuse, Request, Send, SetTimer, Settings, Status, TimerDue,
+    Outcome, Refuse, Request, Send, SetTimer, Settings, Status, StreamBegun, TimerDue,
 )
-from embersill.net.backends import Answer, Attempt, Pool
+from embersill.net.backends import Answer, Attempt, BackendConnection, Pool, Sink
 from embersill.net.deadlines import Deadline
 from embersill.net.discovery import Listing
 
@@ -48,6 +48,7 @@
     repeat: bool
     head: bytes  # request line and headers for a backend, but for the budget and the blank line
     body: bytes
+    rest: list[bytes] | None = None  # in its place a body over 64 KiB, in the pieces in which it came
 
 
 class Exchange(Protocol):
@@ -55,11 +56,20 @@
 
     def answer(self, status: int, body: bytes, headers: bytes = b"") -> None: ...
 
+    def begin(self, headers: bytes, length: int | None, source: BackendConnection) -> Sink:
+        """Begins an answer that is passed on while it comes."""
+        ...
+
+    def done(self, whole: bool) -> None:
+        """Ends that one; where it is not whole the client must be able to tell."""
+        ...
+
 
 class Pending:
     """A request that was taken, until it has its answer and the last of its attempts has ended."""
 
-    __slots__ = ("attempts", "call", "driver", "end", "exchange", "guard", "number", "out", "over")
+    __slots__ = (
+        "attempts", "call", "driver", "end", "exchange", "guard", "number", "out", "over", "streamed")
 
     def __init__(self, driver: Driver, number: int, call: Call, exchange: Exchange) -> None:
         self.driver, self.number, self.call = driver, number, call
@@ -68,6 +78,11 @@
         self.attempts: list[Attempt] = []
         self.out, self.over = 0, False
         self.guard: Deadline | None = None
+        self.streamed: Attempt | None = None  # the one whose answer is being passed on
+
+    def attempt_began(self, attempt: Attempt, headers: bytes, length: int | None,
+                      source: BackendConnection) -> Sink | None:
+        return self.driver.attempt_began(self, attempt, headers, length, source)
 
     def attempt_ended(self, attempt: Attempt, answer: Answer) -> None:
         self.driver.attempt_ended(self, attempt, answer)
@@ -182,11 +197,25 @@
         # the loop counts whole milliseconds and may come early: for the module a timer is never early
         self.post(TimerDue(key), due)
 
+    def attempt_began(self, pending: Pending, attempt: Attempt, headers: bytes, length: int | None,
+                      source: BackendConnection) -> Sink | None:
+        """From the first byte that is passed on this attempt's answer is the request's, whole or not."""
+        exchange = pending.exchange
+        if pending.over or exchange is None or pending.streamed is not None:
+            return None
+        pending.streamed = attempt
+        if pending.guard is not None:
+            pending.guard.cancel()
+        self.post(StreamBegun(pending.number, attempt.place))
+        return exchange.begin(headers, length, source)
+
     def attempt_ended(self, pending: Pending, attempt: Attempt, answer: Answer) -> None:
         pending.out -= 1
-        if answer.outcome is Outcome.SERVED and not pending.over:
+        if pending.streamed is attempt and not pending.over:
+            self.finish(pending, 200 if answer.outcome is Outcome.SERVED else 502)
+        elif answer.outcome is Outcome.SERVED and not pending.over:
             self.finish(pending, 200, answer.body, answer.headers)
-        elapsed = self.clock() - attempt.sent_at
+        elapsed = (attempt.began_at or self.clock()) - attempt.sent_at
         over = pending.over
         units = answer.units if answer.units <= self.most_units else 0.0  # no request takes as much
         self.post(AttemptEnded(
@@ -243,6 +272,7 @@
         attempt = Attempt(
             action.backend, pending.call.head, pending.call.body, now, until, place, pending,
             action.write_by)
+        attempt.rest = pending.call.rest
         pending.attempts.append(attempt)
         pending.out += 1
         if pending.over or now >= pending.end:
@@ -290,10 +320,15 @@
         if status and self.figures is not None:
             self.figures.count(pending.call.klass, status)
         if status and exchange is not None:
-            exchange.answer(status, body, headers)
+            if pending.streamed is not None:
+                exchange.done(status == 200)
+            else:
+                exchange.answer(status, body, headers)
         for attempt in pending.attempts:
             if not (attempt.ended or attempt.written):  # it must not be written for a request that is over
                 attempt.end(Answer(Outcome.NOT_SENT))
+            elif attempt is pending.streamed and not attempt.ended:
+                attempt.end(Answer(Outcome.CANCELLED))  # nobody is there to read the rest
 
     def forget(self, pending: Pending) -> None:
         if pending.over and not pending.out and self.pending.pop(pending.number, None) is not None:
--- a/embersill/roles.py
+++ b/embersill/roles.py
@@ -14,7 +14,7 @@
 from embersill.configuration.platform import BadConfiguration, Configuration, read_configuration
 from embersill.control import Gateway
 from embersill.net.backends import Pool
-from embersill.net.clients import Front
+from embersill.net.clients import SLOW_WITHIN, Front
 from embersill.net.counter import Counter
 from embersill.net.discovery import Discovery
 from embersill.net.driver import Decider, Driver
@@ -26,6 +26,7 @@
 RESERVE = 64  # descriptors kept for the listener, discovery, the counter, and what the run-time itself needs
 RESERVE_PART = 0.25  # of the descriptors, at most, that this may be
 CLIENTS_PART = 0.6  # of the other descriptors: held requests need none at the backends' side
+BODIES_PART = 0.3  # of the memory, for long bodies: a process that follows may need as much for a while
 FIRST_LIST_WITHIN = 1.0  # seconds to wait for discovery's own word before the remembered list must do
 STILL_COMING = 0.5  # seconds after SIGTERM in which clients still connect, by the protocol, and a little
 ALL_ANSWERED = 3.4  # seconds after SIGTERM by which all is answered: it may be killed 0.3 s later
@@ -105,7 +106,9 @@
             from embersill.service.running import Operations  # only where the platform names its address
             avoided = decides.avoided if isinstance(decides, Gateway) else lambda: 0
             self.operations = Operations(self, told.name, avoided)
-            self.front.shares = True
+            self.front.shares, self.front.read_within = True, SLOW_WITHIN
+            self.pool.pass_long_answers()
+            self.front.room_in_all = self.front.room = int(told.memory * BODIES_PART)
 
     def serves(self) -> bool:
         return self.settled and bool(self.driver.serving)
--- a/embersill/work.py
+++ b/embersill/work.py
@@ -35,6 +35,7 @@
     def __init__(self, server: Server, now: float, weight: float) -> None:
         self.server, self.sent, self.weight = server, now, weight
         self.out, self.unrun, self.overdue = True, False, False
+        self.begun = False  # its answer is being passed on: the backend has done the work
         self.nowhere = False  # it did not come whole to any backend: nothing of its request was passed on
 
 
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -13,7 +13,7 @@
 
 from embersill.interface import Outcome
 from embersill.net import backends
-from embersill.net.backends import MOST_BODY, MOST_HEAD, RESTED, Answer, Attempt, Pool
+from embersill.net.backends import MOST_BODY, MOST_HEAD, RESTED, Answer, Attempt, BackendConnection, Pool
 from tests.bed import run
 from tests.peers import HOST, SOON, Asked, BackendPeer, Step, message
 
@@ -29,6 +29,10 @@
     def attempt_ended(self, attempt: Attempt, answer: Answer) -> None:
         self.answer.set_result(answer)
 
+    def attempt_began(self, attempt: Attempt, headers: bytes, length: int | None,
+                      source: BackendConnection) -> None:
+        raise AssertionError("long answers are not passed on here")
+
 
 class Sender:
     """A pool with one backend, and attempts whose ends are waited for."""
