Cold backends take more while warm ones are late; notes on the large fleet

A backend's age tells only the least that it can do, and by that least the share was dealt (Gateway.cold_chance). Change: the lift grows with the part of warm answers that are late, in the same bound of 1.8 times. Rejected: taking the cold ones' own answer times as a sign of warmth: they are good because little is sent there, until too much is.

--- a/embersill/control.py
+++ b/embersill/control.py
@@ -38,7 +38,7 @@
 LONGEST_MEMORY = 4.0  # times as long, at most
 SHUN = 0.5  # what is held against a backend from which another draw is made in its place
 COLD_PART = 0.34  # of the work that would push a cold backend over, at most: chance and large work double it
-COLD_LIFT = 1.8  # times that part, at most, where so many are cold that the warm ones alone are too few
+COLD_LIFT = 1.8  # times that part, at most, where the warm ones are too few, or late
 LOOK_EVERY = 0.25  # seconds between looks at how warm the fleet is
 FULL_FOR = 15.0  # seconds a backend that turned a plan or a class away is passed over for it
 LATE_AT = 0.35  # of the aim from which an answer counts as late: short queues don't push a backend over
@@ -74,6 +74,7 @@
         self.held: set[str] = set()  # taken out of use by hand, listed or not
         self.processes = 1  # of this gateway, that keep its ceilings together
         self.drawn: Server | None = None  # the cold backend that the draw has let through
+        self.warm_late = 0.0  # part of the warm backends' last answers that were late
         self.warmth, self.warmth_until = 1.0, now  # the fleet's part of its whole capacity, until when
         self.kinds: dict[str, float] = {}  # answer time of a kind of machine against the fleet's
         self.jobs: dict[int, Job] = {}
@@ -539,8 +540,10 @@
     def cold_chance(self, server: Server) -> float:
         """The part kept of draws that fall on a cold backend, alike at all gateways: of a warm one's work."""
         part = min(1.0, self.settings.fall_multiple * COLD_PART)
-        # what is kept from the cold ones is the warm ones' load: where most are cold, all take their share
-        return part * server.cold_share(self.now, self.settings) * min(1.0 / self.fleet_warmth(), COLD_LIFT)
+        # what is kept from the cold ones is the warm ones' load: where most are cold, all take their share,
+        # and some more where the warm ones are late for all that
+        lift = min((1.0 + self.warm_late) / self.fleet_warmth(), COLD_LIFT)
+        return part * server.cold_share(self.now, self.settings) * lift
 
     def fleet_warmth(self) -> float:
         """The least part of its whole capacity that the fleet has now; more than nought."""
@@ -561,6 +564,8 @@
     def judge(self, late: bool, server: Server) -> None:
         """Moves the limits and the part that is sent on, whose steps scale with itself at any width."""
         server.limit = moved(server.limit, late, server.flight, server.least)
+        if server.warm:
+            self.warm_late += BLEND / 2 * (late - self.warm_late)
         least = max(LEAST_OUT, LEAST_LIMIT * len(self.order) / self.settings.gateways)
         self.limit = moved(self.limit, late, self.flight, least)
         weight = min(1.0, (self.now - self.judged) / JUDGE_EVERY)
--- a/tests/test_throttle.py
+++ b/tests/test_throttle.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from embersill.control import Gateway
+from embersill.control import COLD_LIFT, Gateway
 from embersill.interface import Count, Counted, Outcome, Refuse, Send, SetTimer, TimerDue
 from embersill.throttle import EPS, Throttle
 from tests.helpers import CAPPED, PLAN, SETTINGS, Watch, backend, backends, ended, gateway, request
@@ -166,6 +166,23 @@
     assert made.cold_chance(made.servers["b"]) > share
 
 
+def test_a_cold_backend_takes_more_while_warm_ones_are_late_and_no_more_than_its_bound() -> None:
+    # by its age alone a backend 10 s old got half of a warm one's load, at a third of its answer time
+    cold = replace(backend("b"), started=98.0)
+    made = gateway(listed=backends(*(backend(f"w{n}") for n in range(9)), cold))
+    server = made.servers["b"]
+    calm, share = made.cold_chance(server), server.cold_share(100.0, made.settings)
+    for _ in range(100):
+        made.judge(True, made.servers["w0"])
+    assert 1.5 * calm < made.cold_chance(server) <= COLD_LIFT * 1.02 * share + EPS
+    for _ in range(100):
+        made.judge(False, made.servers["w0"])
+    assert made.cold_chance(server) < 1.01 * calm
+    for _ in range(100):
+        made.judge(True, server)  # its own lateness earns it nothing
+    assert made.cold_chance(server) < 1.01 * calm
+
+
 def test_what_is_learned_is_bounded_whatever_units_clients_name() -> None:
     made = gateway()
     for number in range(200):
