One piece each: a backend's new record, the reasons of answers; an unused parameter gone

Seen on reading the whole change again: control.py made a backend's record with its limit in two places (a new listing, and a return from a ban), the operators' door had a table of HTTP reasons of its own beside that of net/clients.py, and cut_short took a parameter that it did not use. Change: Gateway.new_server, REASONS taken from net/clients.py; behaviour as before.

--- a/embersill/control.py
+++ b/embersill/control.py
@@ -809,14 +809,18 @@
             if backend.status is Status.GONE:
                 self.servers.pop(backend.address, None)
             elif server is None or server.backend.started != backend.started:
-                limit = max(1.0, START_LIMIT / self.settings.gateways)
-                self.servers[backend.address] = Server(backend, limit, self.now)
+                self.new_server(backend)
             else:
                 server.backend = backend
         self.set_order()
         if event.kind is ListKind.REMEMBERED and not self.settings.list_pushed:
             self.actions.append(Subscribe())
 
+    def new_server(self, backend: Backend) -> Server:
+        limit = max(1.0, START_LIMIT / self.settings.gateways)
+        server = self.servers[backend.address] = Server(backend, limit, self.now)
+        return server
+
     def set_order(self) -> None:
         self.order = [s for s in self.servers.values() if s.backend.status is Status.SERVING]
         if self.held:
@@ -831,8 +835,7 @@
             self.held.discard(event.backend)
             before = self.servers.get(event.backend)
             if before is not None:
-                limit = max(1.0, START_LIMIT / self.settings.gateways)
-                server = self.servers[event.backend] = Server(before.backend, limit, self.now)
+                server = self.new_server(before.backend)
                 server.started, server.warm = self.now, False
         self.set_order()
 
--- a/embersill/net/clients.py
+++ b/embersill/net/clients.py
@@ -84,7 +84,7 @@
     def done(self, whole: bool) -> None:
         self.source = None
         if not whole:
-            return self.connection.cut_short(self)
+            return self.connection.cut_short()
         self.text = (self.text or b"") + (b"0\r\n\r\n" if self.chunked else b"")
         return self.connection.flush()
 
@@ -331,7 +331,7 @@
     def has_room_for(self, exchange: Exchange) -> bool:
         return not self.stuck and bool(self.exchanges) and self.exchanges[0] is exchange
 
-    def cut_short(self, exchange: Exchange) -> None:
+    def cut_short(self) -> None:
         """An answer that can't be finished: the client sees its connection end in the midst of it."""
         if self.transport is not None:
             self.ended = self.closing = True
--- a/embersill/net/operators.py
+++ b/embersill/net/operators.py
@@ -8,11 +8,11 @@
 
 import httptools
 
+from embersill.net.clients import REASONS
+
 MOST_CALLERS = 32  # at a time; past it the one that has waited longest without a whole call goes
 MOST_BYTES = 16 * 1024  # of one call
 CALL_WITHIN = 5.0  # seconds for a call to come whole
-REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
-           413: "Content Too Large", 500: "Internal Server Error", 503: "Service Unavailable"}
 
 Answering = Callable[[str, str], tuple[int, str]]
 
@@ -60,8 +60,8 @@
         self.answered = True
         body = text.encode()
         self.transport.write(
-            f"HTTP/1.1 {status} {REASONS.get(status, 'Error')}\r\nContent-Type: text/plain\r\n"
-            f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n".encode() + body)
+            b"HTTP/1.1 %d %b\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n"
+            b"Connection: close\r\n\r\n%b" % (status, REASONS[status], len(body), body))
         self.transport.close()
 
     def connection_lost(self, exc: Exception | None) -> None:
