Each gateway keeps to a row of backends where many gateways see few requests each

Checked: connections were not closed early (0 closed as idle); requests a gateway 97 to 888, no outlier explains it. At fault: Gateway.choose drew from all of self.order, at every gateway.

Change: Gateway.row_of: a row of max(16, 24 x backends / gateways), in one order everywhere, from a place of the gateway's own; warm and cold apart, first draws on cold ones as often as before. Few gateways or few backends: all of them, and the same draws as before. Rejected: rendezvous hashing (18 % uneven), rounds, places by hash.

--- a/embersill/control.py
+++ b/embersill/control.py
@@ -40,6 +40,9 @@
 COLD_PART = 0.34  # of the work that would push a cold backend over, at most: chance and large work double it
 COLD_LIFT = 1.8  # times that part, at most, where the warm ones are too few, or late
 LOOK_EVERY = 0.25  # seconds between looks at how warm the fleet is
+LEAST_NEAR = 16  # backends that a gateway keeps to, at the least: two of them bad leave fourteen
+COVER = 24.0  # gateways that each backend is used by, about, at the least: their uneven loads even out
+GOLDEN = (5**0.5 - 1) / 2  # multiples of it lie evenly on a circle, however many they are
 FULL_FOR = 15.0  # seconds a backend that turned a plan or a class away is passed over for it
 LATE_AT = 0.35  # of the aim from which an answer counts as late: short queues don't push a backend over
 LEAST_OUT = 1.0  # attempts a gateway may always have out; the fraction of one is drawn
@@ -71,6 +74,11 @@
         self.actions: list[Action] = []
         self.servers: dict[str, Server] = {}
         self.order: list[Server] = []  # those that serve, for drawing
+        self.near: list[Server] = []  # of the warm ones, those that this gateway's connections go to
+        self.near_cold: list[Server] = []  # and of those that still warm up
+        self.cold_draws = 0.0  # part of the first draws that is for these
+        # where this gateway's part of them begins: neighbours, who share customers, begin far apart
+        self.phase = settings.me * GOLDEN % 1.0
         self.held: set[str] = set()  # taken out of use by hand, listed or not
         self.processes = 1  # of this gateway, that keep its ceilings together
         self.drawn: Server | None = None  # the cold backend that the draw has let through
@@ -504,26 +512,29 @@
 
     def choose(self, job: Job) -> Server | None:
         """The better of two that are drawn; more replace the unfit, and those that failed unless all did."""
-        pool = self.order
+        if self.now >= self.warmth_until:
+            self.look_around()
+        pool = self.near
         if job.risky is not None and job.klass.repeats is Repeats.BY_KEY:
-            pool = [s for s in pool if group_of(job.klass, s) == group_of(job.klass, job.risky.server)]
+            group = group_of(job.klass, job.risky.server)
+            pool = [s for s in self.order if group_of(job.klass, s) == group]
         best, least, found = None, 0.0, 0
         usual, self.drawn = self.usual_for(job), None
-        for number in range(DRAWS if pool else 0):
+        if self.near_cold and pool is self.near and self.random.random() < self.cold_draws:
+            server = self.near_cold[int(self.random.random() * len(self.near_cold))]
+            if self.random.random() < self.cold_chance(server):
+                self.drawn = server
+                if self.may_send(job, server):
+                    return server
+        for _ in range(DRAWS if pool else 0):
             server = pool[int(self.random.random() * len(pool))]
-            if not server.warm and server.cold_share(self.now, self.settings) < 1.0:
-                if number == 0 and self.random.random() < self.cold_chance(server):
-                    self.drawn = server
-                    if self.may_send(job, server):
-                        return server
-                continue
             cost = self.cost(job, server, usual) if self.may_send(job, server) else -1.0
             if cost >= 0 and (best is None or cost < least):
                 best, least = server, cost
             found += cost >= 0
             if found >= CHOICES and least < SHUN * job.klass.aim:
                 break
-        return best or next((s for s in pool if self.may_send(job, s)), None)
+        return best or next((s for s in self.order if self.may_send(job, s)), None)
 
     def cost(self, job: Job, server: Server, usual: float) -> float:
         server.fade(self.now)
@@ -542,16 +553,36 @@
         part = min(1.0, self.settings.fall_multiple * COLD_PART)
         # what is kept from the cold ones is the warm ones' load: where most are cold, all take their share,
         # and some more where the warm ones are late for all that
-        lift = min((1.0 + self.warm_late) / self.fleet_warmth(), COLD_LIFT)
+        lift = min((1.0 + self.warm_late) / self.warmth, COLD_LIFT)
         return part * server.cold_share(self.now, self.settings) * lift
 
-    def fleet_warmth(self) -> float:
-        """The least part of its whole capacity that the fleet has now; more than nought."""
-        if self.now >= self.warmth_until:
-            self.warmth_until = self.now + LOOK_EVERY
-            whole = sum(1.0 if s.warm else s.cold_share(self.now, self.settings) for s in self.order)
-            self.warmth = max(whole / max(len(self.order), 1), 1.0 / COLD_LIFT / 2)
-        return self.warmth
+    def look_around(self) -> None:
+        """Every so often: how warm the fleet is, and which backends are this gateway's to use.
+
+        Where many gateways see few requests each, one and the same backend is met again too seldom: no
+        connection is used twice, and nothing is learned of a backend before it matters. So each gateway keeps
+        to a row of them, in an order that is the same everywhere, and all backends stand in as many rows.
+        """
+        self.warmth_until = self.now + LOOK_EVERY
+        settings, whole = self.settings, 0.0
+        warm: list[Server] = []
+        cold: list[Server] = []
+        for server in self.order:
+            share = 1.0 if server.warm else server.cold_share(self.now, settings)
+            whole += share
+            (warm if share >= 1.0 else cold).append(server)
+        self.warmth = max(whole / max(len(self.order), 1), 1.0 / COLD_LIFT / 2)
+        self.cold_draws = len(cold) / max(len(self.order), 1)
+        self.near, self.near_cold = self.row_of(warm), self.row_of(cold)
+
+    def row_of(self, servers: list[Server]) -> list[Server]:
+        count = len(servers)
+        size = max(LEAST_NEAR, math.ceil(COVER * count / self.settings.gateways))
+        if size >= count:
+            return servers
+        servers.sort(key=lambda s: s.place)
+        begin = int(self.phase * count)
+        return (servers + servers)[begin:begin + size]
 
     def pressed(self, job: Job) -> bool:
         """Sheds while answers are late, those with little credit first: overload no one backend shows."""
--- a/embersill/lab/levels/fences.py
+++ b/embersill/lab/levels/fences.py
@@ -260,7 +260,7 @@
         (
             (
                 CONTROL,
-                "pool = [s for s in pool if group_of(job.klass, s) == group_of(job.klass, job.risky.server)]",
+                "pool = [s for s in self.order if group_of(job.klass, s) == group]",
                 "pass",
             ),
         ),
--- a/embersill/work.py
+++ b/embersill/work.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import zlib
 from typing import TYPE_CHECKING
 
 from embersill.interface import Backend, Request, RequestClass, Settings
@@ -44,6 +45,7 @@
 
     def __init__(self, backend: Backend, limit: float, now: float) -> None:
         self.backend, self.touched = backend, now
+        self.place = zlib.crc32(backend.address.encode())  # in an order that is the same at every gateway
         self.started = backend.started  # or when staff put it back, which may have restarted it
         self.warm = self.started is None  # for good: a restarted backend is a new one
         self.flight = self.overdue = 0  # attempts out, and those of them that are late already
