One piece each: laying out an older commit, settling a store; dead fields of the emulator gone

Seen on reading the change again: benchmarks/scarce_counter.py unpacked an older commit as benchmarks/world.py did already; the emulator's ledger settled stores in two places; Ledger.factors and Fleet.waits were never read.

Change: benchmarks/history.py (lay_out) serves both benchmarks, and a commit that the history does not have is told in one line; Store.settle serves the ideal stores and the used ones; the two fields are gone. The module and the network code are untouched.

--- a/benchmarks/scarce_counter.py
+++ b/benchmarks/scarce_counter.py
@@ -7,19 +7,18 @@
 from __future__ import annotations
 
 import argparse
-import io
 import json
 import random
 import shutil
 import statistics
 import subprocess
 import sys
-import tarfile
 import tempfile
 import time
 from pathlib import Path
 from typing import Any
 
+from benchmarks.history import ROOT, lay_out
 from embersill.emulator.demand import MEAN_UNITS, Mix, draw_customers, draw_tries
 from embersill.emulator.fleet import Fleet, Site
 from embersill.lab.settings import settings_object
@@ -31,7 +30,6 @@
 SHARES = {"basis": 0.35, "plus": 0.30, "pro": 0.35}
 LARGEST = 8  # units of a request: the stores hold some of these at the least
 CEILING = (1.7, 2.6)
-ROOT = Path(__file__).parent.parent
 CLASSES = [("lookup", 0.60), ("report", 0.22), ("extract", 0.18)]
 
 
@@ -67,8 +65,9 @@
     spent = time.process_time() - began
     out: dict[str, Any] = {"plans": {}}
     for name, t in sorted(ledger.tallies.items()):
-        out["plans"][name] = {"gained": t.gained / t.offered, "with_room": t.refused_with_room / t.asked,
-                     "beyond": t.beyond / max(t.inside + t.beyond, 1e-9), "asked": t.asked / t.offered}
+        out["plans"][name] = {
+            "gained": t.gained / t.offered, "with_room": t.refused_with_room / t.asked,
+            "beyond": t.beyond / max(t.inside + t.beyond, 1e-9), "asked": t.asked / t.offered}
     tallies = ledger.tallies.values()
     out["gained"] = sum(t.gained for t in tallies) / sum(t.offered for t in tallies)
     out["refused_with_room_share"] = sum(t.refused_with_room for t in tallies) / sum(t.asked for t in tallies)
@@ -82,15 +81,13 @@
 
 def before(commit: str, arguments: list[str]) -> list[dict[str, Any]]:
     """The same days on an older commit's module, played by this tree's emulator."""
-    archive = ["git", "archive", commit, "embersill"]
-    packed = subprocess.run(archive, cwd=ROOT, capture_output=True, check=True)
     with tempfile.TemporaryDirectory() as folder:
-        with tarfile.open(fileobj=io.BytesIO(packed.stdout)) as tar:
-            tar.extractall(folder, filter="data")
+        if not lay_out(commit, Path(folder)):
+            raise SystemExit(f"scarce_counter: the history has no commit {commit}")
         ours = Path("embersill/emulator")
         shutil.copytree(ROOT / ours, Path(folder) / ours, dirs_exist_ok=True)
         (Path(folder) / "benchmarks").mkdir()
-        for name in ("__init__.py", "scarce_counter.py"):
+        for name in ("__init__.py", "history.py", "scarce_counter.py"):
             shutil.copy(ROOT / "benchmarks" / name, Path(folder) / "benchmarks" / name)
         command = [sys.executable, "-m", "benchmarks.scarce_counter", *arguments]
         ran = subprocess.run(command, cwd=folder, capture_output=True, text=True, check=True)
--- a/benchmarks/world.py
+++ b/benchmarks/world.py
@@ -8,18 +8,17 @@
 from __future__ import annotations
 
 import argparse
-import io
 import json
 import os
 import statistics
 import subprocess
 import sys
-import tarfile
 import tempfile
 import time
 from pathlib import Path
 from typing import Any
 
+from benchmarks.history import lay_out
 from embersill.lab.fuzzing.corpus import SEEDS
 from embersill.lab.fuzzing.engine import run_seeded
 from embersill.lab.levels.generate import generate
@@ -30,7 +29,6 @@
 BEFORE = "b3aa9c4"  # the last commit with the schedules of before
 TURNS, A_TURN = 5, 30  # turns of each, and schedules a turn
 FORWARDERS, PLANNERS, SECONDS, RATE = 3, 2, 5.0, 30.0  # the shape in which both are timed
-ROOT = Path(__file__).parent.parent
 OLD = """
 import sys, time
 from embersill.lab.simulation import play
@@ -41,17 +39,6 @@
 """
 
 
-def old_code(folder: Path) -> bool:
-    """Lays the old code out; False where the history does not have it."""
-    command = ["git", "archive", BEFORE, "embersill"]
-    packed = subprocess.run(command, cwd=ROOT, capture_output=True, check=False)
-    if packed.returncode:
-        return False
-    with tarfile.open(fileobj=io.BytesIO(packed.stdout)) as tar:
-        tar.extractall(folder, filter="data")
-    return True
-
-
 def old_turn(folder: Path, first: int) -> float:
     command = [sys.executable, "-c", OLD, str(first), str(first + A_TURN)]
     ran = subprocess.run(command, cwd=folder, env={**os.environ, "PYTHONPATH": str(folder)},
@@ -71,7 +58,7 @@
 def speeds() -> dict[str, Any]:
     new, old = list[float](), list[float]()
     with tempfile.TemporaryDirectory() as name:
-        has_old = old_code(Path(name))
+        has_old = lay_out(BEFORE, Path(name))
         for turn in range(TURNS):
             new.append(new_turn(turn * A_TURN))
             if has_old:
--- a/embersill/emulator/fleet.py
+++ b/embersill/emulator/fleet.py
@@ -109,11 +109,9 @@
         self.backends = tuple(
             Backend(f"b{n}", site.settings.zone, KINDS[n % 2], n // 4, Status.SERVING, 1.0, None)
             for n in range(site.backends))
-        self.ledger = Ledger({c.name: c.worth for c in site.settings.classes},
-                             {p.name: p for p in site.settings.plans})
+        self.ledger = Ledger({c.name: c.worth for c in site.settings.classes})
         self.chance: random.Random = self.kernel.stream("day")
         self.nodes = [FleetNode(self, n) for n in range(site.settings.gateways)]
-        self.waits: list[float] = []  # seconds that each try was held before its first send
 
     def play(self, seconds: float) -> Ledger:
         for node in self.nodes:
--- a/embersill/emulator/stores.py
+++ b/embersill/emulator/stores.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass, field
 
 from embersill.emulator.demand import Customer, Try
-from embersill.interface import Plan
 
 
 class Store:
@@ -26,6 +25,10 @@
         self.level -= units
         return True
 
+    def settle(self, units: float, true_units: float, when: float) -> None:
+        """What was taken by a guess is put right: given back up to the burst, or taken below nought."""
+        self.level = min(self.now(when) + units - true_units, self.burst)
+
 
 @dataclass(slots=True)
 class Tally:
@@ -45,7 +48,6 @@
     """Stores of all customers as they were really used, and as one gateway would have let them be used."""
 
     worth: dict[str, float]  # of a unit, by class
-    factors: dict[str, Plan]
     used: dict[str, Store] = field(default_factory=dict)
     ideal: dict[str, Store] = field(default_factory=dict)
     ceilings: dict[str, Store] = field(default_factory=dict)
@@ -67,7 +69,7 @@
         ideal = self.store(self.ideal, one.customer)
         tally.asked += self.value(one)
         if ideal.take(one.units, one.at):
-            ideal.level = min(ideal.level + one.units - one.true_units, ideal.burst)
+            ideal.settle(one.units, one.true_units, one.at)
             tally.offered += self.value(one)
         else:
             tally.offered += plan.beyond_worth * self.value(one)
@@ -92,9 +94,7 @@
         return inside
 
     def settled(self, one: Try, when: float) -> None:
-        store = self.store(self.used, one.customer)
-        store.now(when)
-        store.level = min(store.level + one.units - one.true_units, store.burst)
+        self.store(self.used, one.customer).settle(one.units, one.true_units, when)
 
     def refused(self, one: Try, when: float) -> None:
         tally, worth = self.tallies[one.customer.plan.name], self.value(one)
--- a/tests/emulator/test_emulator.py
+++ b/tests/emulator/test_emulator.py
@@ -29,7 +29,7 @@
 
 
 def test_the_ledger_tells_what_is_inside_beyond_and_refused_with_room() -> None:
-    ledger = Ledger({"read": 3.0}, {"small": PLAN})
+    ledger = Ledger({"read": 3.0})
     first, second = one(0, 0.0, 6.0, 9.0), one(1, 0.1, 4.0, 4.0)
     for asked in (first, second):
         ledger.asked(asked)
