A fabric of faults: relays on every way, scenarios as files, `lab faults FILE`

Change: the package rig/ (processes, stand-ins, books, traffic, moved from lab/, which keeps commands). A relay for each directed way between processes, backends, discovery, counter and a billing stand-in: refuse, cut, swallow, half-open, delay, narrow, dribble, each until taken back; processes are killed, stopped, starved, restarted and cloned. Scenarios are typed TOML, drawn by their seed, and a failing play is kept as a file.

--- a/benchmarks/closed_loop.py
+++ b/benchmarks/closed_loop.py
@@ -7,7 +7,7 @@
 from time import perf_counter
 from typing import cast
 
-from embersill.lab.standins import HOST
+from embersill.rig.standins import HOST
 
 HEAD = (b"%b /api?client=%016x HTTP/1.1\r\nHost: b\r\nX-Call-Id: %08x%08x\r\nX-Call-Class: %b\r\n"
         b"Plan: free\r\nX-Budget: 5.000\r\n%bQuota-Info: units=1,spread=1,first=0\r\n\r\n%b")
--- a/benchmarks/counting.py
+++ b/benchmarks/counting.py
@@ -19,14 +19,14 @@
 
 from embersill.counting.bound import Case
 from embersill.counting.terms import Terms
-from embersill.lab.books import Asked
+from embersill.rig.books import Asked
 from embersill.lab.counting.judge import EPOCH, Customer, Judge
 from embersill.lab.counting.standin import TroubledCounter
-from embersill.lab.deployment import Deployment, Shape
-from embersill.lab.settings import settings_object
-from embersill.lab.standins import Behaviour
-from embersill.lab.traffic import Customer as Client
-from embersill.lab.traffic import Traffic
+from embersill.rig.deployment import Deployment, Shape
+from embersill.rig.settings import settings_object
+from embersill.rig.standins import Behaviour
+from embersill.rig.traffic import Customer as Client
+from embersill.rig.traffic import Traffic
 from embersill.settings import read_settings
 
 GATEWAYS = ["g0", "g1", "g2", "g3"]
--- a/benchmarks/ordinary_path.py
+++ b/benchmarks/ordinary_path.py
@@ -24,8 +24,9 @@
 from benchmarks.closed_loop import ClosedLoop
 from benchmarks.counts import count
 from benchmarks.tiers import say
-from embersill.lab.deployment import Deployment, Shape, processor_time, resident_kb
-from embersill.lab.standins import Behaviour
+from embersill.rig.deployment import Deployment, Shape
+from embersill.rig.processes import processor_time, resident_kb
+from embersill.rig.standins import Behaviour
 
 ANSWER = 200  # bytes
 
--- a/benchmarks/ratelimit.py
+++ b/benchmarks/ratelimit.py
@@ -20,9 +20,10 @@
 from benchmarks.closed_loop import ClosedLoop
 from benchmarks.tiers import say
 from embersill.lab.agreement import compare
-from embersill.lab.deployment import Deployment, Shape, processor_time, resident_kb
+from embersill.rig.deployment import Deployment, Shape
+from embersill.rig.processes import processor_time, resident_kb
 from embersill.lab.limiter import Limiter
-from embersill.lab.standins import Behaviour
+from embersill.rig.standins import Behaviour
 
 CLIENTS = 3  # processes that load a server
 
--- a/benchmarks/ratelimit_server.py
+++ b/benchmarks/ratelimit_server.py
@@ -14,7 +14,7 @@
 
 from embersill.control import Gateway
 from embersill.interface import Question, Verdict
-from embersill.lab.settings import lab_settings
+from embersill.rig.settings import lab_settings
 from embersill.ratelimit.answering import Answering
 from embersill.ratelimit.server import RateLimitServer, RateLimitServicer
 from embersill.ratelimit.settings import RateLimitTable
--- a/benchmarks/scarce_counter.py
+++ b/benchmarks/scarce_counter.py
@@ -21,7 +21,7 @@
 from benchmarks.history import ROOT, lay_out
 from embersill.emulator.demand import MEAN_UNITS, Mix, draw_customers, draw_tries
 from embersill.emulator.fleet import Fleet, Site
-from embersill.lab.settings import settings_object
+from embersill.rig.settings import settings_object
 from embersill.settings import read_settings
 
 # plans as the site states them: units a second, seconds' worth at once, worth, of what is beyond, its cost
--- a/benchmarks/tiers.py
+++ b/benchmarks/tiers.py
@@ -17,9 +17,9 @@
 import uvloop
 
 from benchmarks.closed_loop import ClosedLoop
-from embersill.lab.deployment import Deployment, Shape, play
-from embersill.lab.settings import settings_object
-from embersill.lab.standins import Behaviour
+from embersill.rig.deployment import Deployment, Shape, play
+from embersill.rig.settings import settings_object
+from embersill.rig.standins import Behaviour
 
 RULES = ("answers_none", "answers_two", "answers_wrong", "unsafe_twice", "keyed_twice", "refused_after_run",
          "unknown_sent", "late_drain_sends", "ceiling_over_slack")
--- a/embersill/lab/__main__.py
+++ b/embersill/lab/__main__.py
@@ -14,8 +14,8 @@
 from rich.live import Live
 from rich.table import Table
 
-from embersill.lab import commands
-from embersill.lab.deployment import Deployment, Shape, play
+from embersill.lab import commands, faults
+from embersill.rig.deployment import Deployment, Shape, play
 from embersill.lab.fuzzing import command as fuzzing
 
 REFRESH = 0.5  # seconds between looks at the figures
@@ -92,6 +92,7 @@
     others = parser.add_subparsers(title="other commands")
     commands.add_to(others)
     fuzzing.add_to(others)
+    faults.add_to(others)
     return parser.parse_args()
 
 
@@ -101,6 +102,8 @@
         return fuzzing.fuzz(options)
     if options.what in commands.COMMANDS:
         return commands.COMMANDS[options.what](options)
+    if options.what in faults.COMMANDS:
+        return faults.COMMANDS[options.what](options)
     told = uvloop.run(run_deployment(options))
     print(json.dumps(told))
     return 1 if told["breaches"] else 0
--- a/embersill/lab/agreement.py
+++ b/embersill/lab/agreement.py
@@ -34,8 +34,8 @@
     Verdict,
 )
 from embersill.lab.limiter import Limiter
-from embersill.lab.settings import lab_settings
-from embersill.lab.standins import HOST
+from embersill.rig.settings import lab_settings
+from embersill.rig.standins import HOST
 from embersill.ratelimit.answering import Answering
 from embersill.ratelimit.client import AskingGateway
 from embersill.ratelimit.server import RateLimitServer
--- a/embersill/lab/counting/standin.py
+++ b/embersill/lab/counting/standin.py
@@ -11,7 +11,7 @@
 import hiredis
 
 from embersill.lab.counting.model import Machine
-from embersill.lab.standins import HOST
+from embersill.rig.standins import HOST
 
 SNAPSHOT_EVERY = 0.5
 
--- a/embersill/lab/counting/world.py
+++ b/embersill/lab/counting/world.py
@@ -40,7 +40,7 @@
 )
 from embersill.lab.counting.judge import Customer, Judge
 from embersill.lab.counting.model import ModelCounter
-from embersill.lab.settings import lab_settings
+from embersill.rig.settings import lab_settings
 from embersill.world.kernel import Kernel, Node
 from embersill.world.oracles import Broken
 from embersill.world.records import Fault, Written
--- a/embersill/lab/fuzzing/corpus.py
+++ b/embersill/lab/fuzzing/corpus.py
@@ -9,7 +9,7 @@
 import json
 from pathlib import Path
 
-from embersill.lab.settings import settings_object
+from embersill.rig.settings import settings_object
 from embersill.tiers.messages import (
     Ask,
     Batch,
--- a/embersill/lab/fuzzing/targets.py
+++ b/embersill/lab/fuzzing/targets.py
@@ -22,7 +22,7 @@
 from embersill.configuration.operator import read_operator
 from embersill.configuration.platform import BadConfiguration, build_configuration
 from embersill.interface import Backend, BackendList, ListKind, Outcome, Request, Send, Status
-from embersill.lab.settings import lab_settings, settings_object
+from embersill.rig.settings import lab_settings, settings_object
 from embersill.lab.still import Harness
 from embersill.net.backends import Answer, Attempt, BackendConnection
 from embersill.net.counter import CounterCall, CounterLine
--- a/embersill/lab/levels/world.py
+++ b/embersill/lab/levels/world.py
@@ -10,7 +10,7 @@
 
 from embersill.interface import Backend, Settings, Status
 from embersill.lab.levels.nodes import ForwarderNode, Member, PlannerNode, backend_of
-from embersill.lab.settings import RULE_WORDS, lab_settings
+from embersill.rig.settings import RULE_WORDS, lab_settings
 from embersill.tiers.messages import AnyMessage
 from embersill.tiers.parts import part_of
 from embersill.tiers.planner import Planner
--- a/embersill/lab/limiter.py
+++ b/embersill/lab/limiter.py
@@ -12,7 +12,7 @@
 import grpc
 from envoy.service.ratelimit.v3 import rls_pb2, rls_pb2_grpc
 
-from embersill.lab.standins import HOST
+from embersill.rig.standins import HOST
 
 TINY = 1e-9  # float slack where a bucket is compared
 Step = Callable[[Any, Any], Awaitable[Any] | Any]  # request, context: the answer, or an abort
--- a/embersill/lab/still.py
+++ b/embersill/lab/still.py
@@ -15,7 +15,7 @@
 
 from embersill.control import Gateway
 from embersill.interface import Backend, ListKind, Status
-from embersill.lab.settings import lab_settings
+from embersill.rig.settings import lab_settings
 from embersill.net.backends import BackendConnection, Pool
 from embersill.net.clients import ClientConnection, Front
 from embersill.net.discovery import Entry, Listing
--- a/embersill/lab/books.py
+++ b/embersill/rig/books.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass, field
 
 from embersill.interface import Plan, Repeats, Settings
-from embersill.lab.settings import RULE_WORDS
-from embersill.lab.standins import Arrival
+from embersill.rig.settings import RULE_WORDS
+from embersill.rig.standins import Arrival
 from embersill.world.oracles import Ceiling, ClassTerms, RuleTerms
 from embersill.world.records import Answered, Dropped, Ended, Record, Told, Written
 from embersill.world.records import Asked as Asked_
--- a/embersill/lab/deployment.py
+++ b/embersill/rig/deployment.py
@@ -3,29 +3,33 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import json
 import os
 import random
 import secrets
+import shutil
 import signal
-import socket
 import sys
 import tempfile
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
 from embersill.interface import Settings
-from embersill.lab.books import Books
-from embersill.lab.settings import settings_object
-from embersill.lab.standins import HOST, Arrival, Behaviour, StandInBackend, StandInCounter, StandInDiscovery
-from embersill.lab.traffic import Customer, Front, Traffic
+from embersill.rig.billing import StandInBilling
+from embersill.rig.books import Books
+from embersill.rig.processes import Member, free_ports
+from embersill.rig.relay import Way
+from embersill.rig.scenarios import Names
+from embersill.rig.settings import settings_object
+from embersill.rig.standins import (
+    HOST, Arrival, Behaviour, DiscoveryView, StandInBackend, StandInCounter, StandInDiscovery,
+)
+from embersill.rig.traffic import Customer, Front, Traffic
 from embersill.settings import read_settings
 
 READY_WITHIN = 15.0  # seconds for a process to take clients
-TICKS = os.sysconf("SC_CLK_TCK")
 
 
 @dataclass(slots=True)
@@ -44,89 +48,10 @@
     status_every: float = 0.5
     sockets: int = 1024  # descriptors that a front machine may hold
     operator: str = ""  # further tables of the operator file, for whoever decides
-
-
-class Member:
-    """One process of the deployment."""
-
-    def __init__(self, name: str, role: str, command: list[str], environ: dict[str, str]) -> None:
-        self.name, self.role, self.command, self.environ = name, role, command, environ
-        self.process: asyncio.subprocess.Process | None = None
-        self.status: dict[str, Any] = {}
-        self.log: list[str] = []
-        self.readers: list[asyncio.Task[None]] = []
-        self.stopped = False
-        self.spent = 0.0  # seconds of processor time of earlier lives
-
-    async def start(self) -> None:
-        self.process = await asyncio.create_subprocess_exec(
-            *self.command, env=self.environ, stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE)
-        self.stopped = False
-        assert self.process.stdout is not None and self.process.stderr is not None
-        self.readers = [asyncio.create_task(self.read(self.process.stdout, True)),
-                        asyncio.create_task(self.read(self.process.stderr, False))]
-
-    async def read(self, stream: asyncio.StreamReader, status: bool) -> None:
-        while line := await stream.readline():
-            text = line.decode(errors="replace").rstrip()
-            if status and text.startswith("{"):
-                self.status = json.loads(text)
-            elif len(self.log) < 200:
-                self.log.append(text)
-
-    @property
-    def running(self) -> bool:
-        return self.process is not None and self.process.returncode is None
-
-    def send(self, number: signal.Signals) -> None:
-        if self.running:
-            assert self.process is not None
-            self.process.send_signal(number)
-
-    async def kill(self) -> None:
-        self.spent += self.cpu()
-        self.send(signal.SIGKILL)
-        await self.ended()
-
-    async def ended(self) -> int:
-        assert self.process is not None
-        code = await self.process.wait()
-        for reader in self.readers:
-            await reader
-        return code
-
-    def cpu(self) -> float:
-        """Seconds of processor time of this life."""
-        if not self.running:
-            return 0.0
-        assert self.process is not None
-        return sum(processor_time(self.process.pid))
-
-
-def processor_time(pid: int) -> tuple[float, float]:
-    """Seconds of processor time of a process so far: user and system."""
-    with open(f"/proc/{pid}/stat") as file:
-        fields = file.read().rpartition(")")[2].split()
-    return int(fields[11]) / TICKS, int(fields[12]) / TICKS
-
-
-def resident_kb(pid: int) -> int:
-    """Memory that a process holds now."""
-    with open(f"/proc/{pid}/status") as file:
-        return int(next(line for line in file if line.startswith("VmRSS")).split()[1])
-
-
-def free_ports(count: int) -> list[int]:
-    """Ports that nobody listens on now: closed again only once all are found."""
-    held = []
-    for _ in range(count):
-        sock = socket.socket()
-        sock.bind((HOST, 0))
-        held.append(sock)
-    ports = [sock.getsockname()[1] for sock in held]
-    for sock in held:
-        sock.close()
-    return ports
+    council: str = ""  # keys of the planners' table [council] after their members; "" is none
+    council_tables: str = ""  # and tables below it
+    relayed: tuple[str, ...] = ()  # ways that go over relays, in the words of scenarios
+    zones: dict[str, list[str]] = field(default_factory=dict)
 
 
 class Deployment:
@@ -136,73 +61,165 @@
         self.object = shape.settings or settings_object(shape.fronts)
         self.settings: Settings = read_settings(self.object)
         self.books = Books(self.settings)
-        self.discovery, self.counter = StandInDiscovery(), StandInCounter()
+        self.discovery, self.counter, self.billing = StandInDiscovery(), StandInCounter(), StandInBilling()
         self.backends = [StandInBackend(f"b{n}", shape.behaviour, shape.seed, self.arrived)
                          for n in range(shape.backends)]
         self.counter_of: dict[str, str] = {}  # addresses of the counter by gateway, where they differ
         self.fronts: list[Front] = []
         self.members: dict[str, Member] = {}
+        self.ports: dict[str, int] = {}  # of planners, for forwarders
+        self.council_ports: dict[str, int] = {}  # of planners, for each other
+        self.ways: dict[str, Way] = {}
+        self.views: list[DiscoveryView] = []
         self.traffic: Traffic
         self.folder = tempfile.TemporaryDirectory(prefix="embersill-lab-")
+        kind = "forwarder" if shape.planners else "gateway"
+        self.names = Names(
+            {**{f"g{n}": kind for n in range(shape.fronts)},
+             **{f"p{n}": "planner" for n in range(shape.planners)},
+             **{backend.name: "backend" for backend in self.backends},
+             "discovery": "discovery", "counter": "counter", "billing": "billing"}, shape.zones)
 
     def arrived(self, arrival: Arrival, runs: bool) -> None:
         self.books.arrived(arrival, runs)
 
     async def start(self) -> None:
         shape = self.shape
-        for part in (self.discovery, self.counter, *self.backends):
+        for part in (self.discovery, self.counter, self.billing, *self.backends):
             await part.start()
         for n, backend in enumerate(self.backends):
-            self.discovery.entries[backend.name] = self.discovery.entry(backend, n % 2)
+            zone = self.names.zone_of(backend.name) or "z"
+            self.discovery.entries[backend.name] = self.discovery.entry(backend, n % 2, zone=zone)
             self.books.cells[backend.name] = n % 2
         ports = free_ports(shape.fronts)
         self.fronts = [Front(f"g{n}", port, idle=[]) for n, port in enumerate(ports)]
+        await self.lay_ways()
         if shape.planners:
             await self.start_planners([front.name for front in self.fronts])
         for front in self.fronts:
-            self.add(front.name, "forwarder" if shape.planners else "gateway", front.port)
+            await self.add(front.name, "forwarder" if shape.planners else "gateway", front.port)
         await asyncio.gather(*(self.members[front.name].start() for front in self.fronts))
         await asyncio.gather(*(self.wait_ready(front) for front in self.fronts))
         self.traffic = Traffic(
             self.settings, self.books, self.fronts, self.customers(), shape.rate, shape.seed)
 
+    # ways
+
+    async def lay_ways(self) -> None:
+        for name in self.names.ways(self.shape.relayed):
+            begin, _, end = name.partition(">")
+            if self.names.roles[begin] not in ("planner", "forwarder", "gateway"):
+                continue  # only processes dial
+            way = self.ways[name] = Way(name, self.target_of(begin, end), self.shape.seed)
+            await way.start()
+
+    def target_of(self, begin: str, end: str) -> Callable[[], tuple[str, int]]:
+        def target() -> tuple[str, int]:
+            role = self.names.roles[end]
+            if role == "planner":
+                ports = self.council_ports if self.names.roles[begin] == "planner" else self.ports
+                return HOST, ports[end]
+            parts = {"discovery": self.discovery, "counter": self.counter, "billing": self.billing,
+                     **{backend.name: backend for backend in self.backends}}
+            return HOST, parts[end].port
+
+        return target
+
+    def dialled(self, begin: str, end: str, address: str) -> str:
+        """Where a process dials another: a relay if one lies between them."""
+        way = self.ways.get(f"{begin}>{end}")
+        return address if way is None else way.address
+
     async def start_planners(self, forwarders: list[str]) -> dict[str, int]:
         """Starts the planners for forwarders by these names; tells the ports."""
-        planners = {f"p{n}": port for n, port in enumerate(free_ports(self.shape.planners))}
+        names = [f"p{n}" for n in range(self.shape.planners)]
+        ports = free_ports(2 * len(names))
+        self.ports = dict(zip(names, ports, strict=False))
+        self.council_ports = dict(zip(names, ports[len(names):], strict=True))
         folder = Path(self.folder.name)
         (folder / "secret").write_text(secrets.token_hex(16))
-        for role in ("planner", "forwarder"):
-            (folder / f"{role}.toml").write_text(self.operator_text(role, forwarders, planners))
-        for name in planners:
-            self.add(name, "planner", 0)
-        await asyncio.gather(*(self.members[name].start() for name in planners))
-        return planners
-
-    def operator_text(self, role: str, forwarders: list[str], planners: dict[str, int]) -> str:
+        for name in forwarders:
+            self.write_operator(name, "forwarder", forwarders)
+        for name in names:
+            self.write_operator(name, "planner", forwarders)
+            await self.add(name, "planner", 0)
+        await asyncio.gather(*(self.members[name].start() for name in names))
+        return self.ports
+
+    def write_operator(self, name: str, role: str, forwarders: list[str]) -> None:
+        planners = {p: self.dialled(name, p, f"{HOST}:{port}") if role == "forwarder" else f"{HOST}:{port}"
+                    for p, port in self.ports.items()}
         lines = [f'role = "{role}"', "[tiers]", f"forwarders = {json.dumps(forwarders)}",
-                 'secret_file = "secret"',
-                 f"status_every = {self.shape.status_every}", "[tiers.planners]"]
-        text = "\n".join([*lines, *(f'{n} = "{HOST}:{port}"' for n, port in planners.items())]) + "\n"
-        return text + self.shape.operator if role == "planner" else text
-
-    def add(self, name: str, role: str, port: int) -> None:
+                 'secret_file = "secret"', f"status_every = {self.shape.status_every}", "[tiers.planners]",
+                 *(f'{p} = "{address}"' for p, address in planners.items())]
+        text = "\n".join(lines) + "\n"
+        if role == "planner":
+            text += self.shape.operator + self.council_text(name)
+        self.operator_file(name).write_text(text)
+
+    def council_text(self, name: str) -> str:
+        if not self.shape.council:
+            return ""
+        members = {p: f"{HOST}:{port}" if p == name else self.dialled(name, p, f"{HOST}:{port}")
+                   for p, port in self.council_ports.items()}
+        billing = self.dialled(name, "billing", self.billing.address)
+        lines = ["[council]", f'state = "state-{name}"', self.shape.council, "[council.members]",
+                 *(f'{p} = "{address}"' for p, address in members.items())]
+        return "\n".join(lines) + "\n" + self.shape.council_tables.replace("BILLING", billing)
+
+    def operator_file(self, name: str) -> Path:
+        return Path(self.folder.name) / f"{name}.toml"
+
+    def state_of(self, name: str) -> Path:
+        """Where a planner keeps what the council has it remember."""
+        return Path(self.folder.name) / f"state-{name}"
+
+    async def add(self, name: str, role: str, port: int, config: str = "") -> None:
+        """A further process, not started yet; `config` names its files where the name is taken."""
         folder = Path(self.folder.name)
+        discovery, known = self.discovery.address, self.discovery.listing()
+        places = {b.name: self.ways[f"{name}>{b.name}"].address for b in self.backends
+                  if f"{name}>{b.name}" in self.ways}
+        if places:
+            view = DiscoveryView(self.discovery, places)
+            await view.start()
+            self.views.append(view)
+            discovery, known = view.address, view.listing()
         told = {
-            "name": name, "listen": f"{HOST}:{port or 1}", "discovery": self.discovery.address,
-            "counter": self.counter_of.get(name, self.counter.address),
+            "name": name, "listen": f"{HOST}:{port or 1}",
+            "discovery": self.dialled(name, "discovery", discovery),
+            "counter": self.dialled(name, "counter", self.counter_of.get(name, self.counter.address)),
             "seed": f"{self.random.getrandbits(64):016x}",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.shape.sockets},
-            "known": self.discovery.listing(), "settings": self.object,
+            "known": known, "settings": self.object,
         }
-        path = folder / f"{name}.json"
+        config = config or name
+        path = folder / f"{config}.json"
         path.write_text(json.dumps(told))
         command = [sys.executable, "-m", "embersill"]
         if role == "gateway" and self.shape.operator:
-            (folder / "gateway.toml").write_text(self.shape.operator)
+            (folder / f"{config}.toml").write_text(self.shape.operator)
         if role != "gateway" or self.shape.operator:
-            command += ["--operator", str(folder / f"{role}.toml")]
+            command += ["--operator", str(folder / f"{config}.toml")]
         kept = {k: v for k, v in os.environ.items() if not k.startswith(("RELAY_", "EMBERSILL_"))}
-        self.members[name] = Member(name, role, command, {**kept, "RELAY_CONFIG": str(path)})
+        self.members[config] = Member(config, role, command, {**kept, "RELAY_CONFIG": str(path)})
+
+    async def clone(self, name: str) -> Member:
+        """A second planner of that name, as on another machine: its own addresses, a copy of the disk."""
+        config = f"{name}+{sum(member.startswith(f'{name}+') for member in self.members) + 1}"
+        folder = Path(self.folder.name)
+        state = folder / f"state-{config}"
+        if self.state_of(name).exists():
+            shutil.copytree(self.state_of(name), state)
+        text = self.operator_file(name).read_text()
+        link, council = free_ports(2)
+        text = text.replace(f'{name} = "{HOST}:{self.ports[name]}"', f'{name} = "{HOST}:{link}"')
+        text = text.replace(f'{name} = "{HOST}:{self.council_ports[name]}"', f'{name} = "{HOST}:{council}"')
+        text = text.replace(f'state = "state-{name}"', f'state = "{state.name}"')
+        self.operator_file(config).write_text(text)
+        await self.add(name, "planner", 0, config)
+        await self.members[config].start()
+        return self.members[config]
 
     async def wait_ready(self, front: Front) -> None:
         async with asyncio.timeout(READY_WITHIN):
@@ -256,9 +273,7 @@
 
     async def pause(self, member: Member, seconds: float) -> None:
         self.books.counts["planner_pauses"] += 1
-        member.send(signal.SIGSTOP)
-        await asyncio.sleep(seconds)
-        member.send(signal.SIGCONT)
+        await member.stand(seconds)
 
     async def restart_front(self, front: Front, down: float) -> None:
         """Kills a front machine; what it held is its clients' to retry."""
@@ -276,12 +291,12 @@
             await asyncio.sleep(every)
             place = turn % len(self.backends)
             backend = self.backends[place]
-            await self.discovery.set(self.discovery.entry(backend, place % 2, "DRAINING"))
+            await self.discovery.set(self.discovery.changed_entry(backend.name, "DRAINING"))
             self.books.drains(backend.name, loop.time())
             self.books.counts["drains"] += 1
             await asyncio.sleep(every)
             self.books.serves(backend.name, loop.time())
-            await self.discovery.set(self.discovery.entry(backend, place % 2))
+            await self.discovery.set(self.discovery.changed_entry(backend.name, "SERVING"))
             turn += 1
 
     # the end
@@ -293,7 +308,7 @@
             ending = [m for m in self.members.values() if m.role in roles and m.running]
             for member in ending:
                 member.spent += member.cpu()
-                member.send(signal.SIGCONT)
+                member.go_on()
                 member.send(signal.SIGTERM)
             for member in ending:
                 code = await member.ended()
@@ -304,11 +319,11 @@
 
     def close(self) -> None:
         for member in self.members.values():
-            if member.running:
-                with contextlib.suppress(ProcessLookupError):
-                    member.send(signal.SIGKILL)
-        for part in (self.discovery, self.counter, *self.backends):
+            member.finish()
+        for part in (self.discovery, self.counter, self.billing, *self.backends, *self.views):
             part.close()
+        for way in self.ways.values():
+            way.close()
         self.folder.cleanup()
 
     def logs(self) -> Iterable[str]:
--- a/embersill/lab/standins.py
+++ b/embersill/rig/standins.py
@@ -189,10 +189,17 @@
         self.changed_in: dict[str, int] = {}
         self.changed = asyncio.Condition()
 
-    def entry(self, backend: StandInBackend, cell: int, status: str = "SERVING") -> dict[str, Any]:
-        return {"instanceId": backend.name, "hostPort": backend.address, "zone": "z", "machineType": "k",
+    def entry(self, backend: StandInBackend, cell: int, status: str = "SERVING", zone: str = "z"
+              ) -> dict[str, Any]:
+        return {"instanceId": backend.name, "hostPort": backend.address, "zone": zone, "machineType": "k",
                 "cell": cell, "lifecycle": status, "weight": 1.0, "startedAtMs": 0}
 
+    def changed_entry(self, name: str, status: str) -> dict[str, Any]:
+        return {**self.entries[name], "lifecycle": status}
+
+    def now_at(self) -> int:
+        return self.generation
+
     def listing(self, since: int | None = None) -> dict[str, Any]:
         named = [e for e in self.entries.values()
                  if since is None or self.changed_in.get(e["instanceId"], 0) > since]
@@ -213,13 +220,33 @@
             wait = int(query.get("timeout_ms", ["0"])[0]) / 1000.0
             try:
                 async with asyncio.timeout(wait), self.changed:
-                    await self.changed.wait_for(lambda: self.generation > since)
+                    await self.changed.wait_for(lambda: self.now_at() > since)
             except TimeoutError:
                 pass
         body = json.dumps(self.listing(since)).encode()
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
 
 
+class DiscoveryView(StandInDiscovery):
+    """What one process is told: the same list, with relays in place of some backends' addresses."""
+
+    def __init__(self, source: StandInDiscovery, places: dict[str, str]) -> None:
+        """`places`: addresses by backend; who is not named stands at its own."""
+        super().__init__()
+        self.source, self.places = source, places
+        self.entries, self.changed_in, self.changed = source.entries, source.changed_in, source.changed
+
+    def listing(self, since: int | None = None) -> dict[str, Any]:
+        self.generation = self.source.generation
+        told = super().listing(since)
+        told["instances"] = [{**e, "hostPort": self.places.get(e["instanceId"], e["hostPort"])}
+                             for e in told["instances"]]
+        return told
+
+    def now_at(self) -> int:
+        return self.source.generation
+
+
 class StandInCounter(StreamServer):
     """Adds up names, by RESP2; names are forgotten after their lives."""
 
--- a/embersill/lab/traffic.py
+++ b/embersill/rig/traffic.py
@@ -11,8 +11,8 @@
 import httptools
 
 from embersill.interface import Repeats, Settings
-from embersill.lab.books import Asked, Books
-from embersill.lab.standins import HOST
+from embersill.rig.books import Asked, Books
+from embersill.rig.standins import HOST
 
 AFTER_END = 0.25  # seconds past a try's end for which its answer is still waited for
 MOST_IDLE = 64  # kept connections to a front machine
--- a/tests/counting/test_operator.py
+++ b/tests/counting/test_operator.py
@@ -18,7 +18,7 @@
 from embersill.counting.terms import Terms
 from embersill.interface import Count, Counted, Outcome
 from embersill.lab.counting.standin import TroubledCounter
-from embersill.lab.settings import settings_object
+from embersill.rig.settings import settings_object
 from tests.bed import run
 from tests.test_program import ROOT
 
--- a/tests/counting/test_schedules.py
+++ b/tests/counting/test_schedules.py
@@ -12,7 +12,7 @@
 from embersill.lab.counting.shorten import breaks, shorten
 from embersill.lab.counting.world import World, play
 from embersill.lab.hunt import hunt_all
-from embersill.lab.settings import lab_settings
+from embersill.rig.settings import lab_settings
 from embersill.world.fences import Fence, source_of
 from embersill.world.oracles import Broken
 from embersill.world.schedules import Schedule, Step
--- a/tests/ratelimit/test_answering.py
+++ b/tests/ratelimit/test_answering.py
@@ -15,7 +15,7 @@
     AttemptEnded, Backend, BackendList, ListKind, Outcome, Plan, Question, Request, Send, Settings, Status,
     Take, Verdict,
 )
-from embersill.lab.settings import lab_settings
+from embersill.rig.settings import lab_settings
 from embersill.ratelimit.answering import Answering, BadQuestion, Descriptor, Override, per_unit
 from embersill.ratelimit.settings import RateLimitTable, check_names, check_ratelimit
 
--- a/tests/ratelimit/test_asking.py
+++ b/tests/ratelimit/test_asking.py
@@ -13,7 +13,7 @@
     Action, AttemptEnded, Backend, BackendList, ClientLeft, Fail, ListKind, Outcome, Refuse, Request, Send,
     Status,
 )
-from embersill.lab.settings import lab_settings
+from embersill.rig.settings import lab_settings
 from embersill.ratelimit.asking import Asking, Call, Ruling
 from embersill.ratelimit.settings import AskTable, RateLimitTable, check_names, check_ratelimit
 
--- a/tests/ratelimit/test_service.py
+++ b/tests/ratelimit/test_service.py
@@ -19,10 +19,11 @@
 
 from embersill.control import Gateway
 from embersill.interface import Action, Backend, BackendList, ListKind, Question, Request, Status, Verdict
-from embersill.lab.deployment import Deployment, Shape, free_ports
+from embersill.rig.deployment import Deployment, Shape
+from embersill.rig.processes import free_ports
 from embersill.lab.limiter import Limiter
-from embersill.lab.settings import lab_settings
-from embersill.lab.standins import HOST
+from embersill.rig.settings import lab_settings
+from embersill.rig.standins import HOST
 from embersill.ratelimit.answering import Answering
 from embersill.ratelimit.client import AskingGateway
 from embersill.ratelimit.server import SERVICE, RateLimitServer
--- a/tests/tiers/helpers.py
+++ b/tests/tiers/helpers.py
@@ -8,7 +8,7 @@
     Action, AttemptEnded, Backend, BackendList, Fail, ListKind, Outcome, Refuse, Request, Send, SetTimer,
     Settings, Status, TimerDue,
 )
-from embersill.lab.settings import lab_settings
+from embersill.rig.settings import lab_settings
 from embersill.tiers.forwarder import Forwarder
 from embersill.tiers.messages import Batch
 from embersill.tiers.parts import part_of
--- a/tests/tiers/test_links.py
+++ b/tests/tiers/test_links.py
@@ -7,9 +7,10 @@
 
 import pytest
 
-from embersill.lab.deployment import Deployment, Shape, free_ports, play
-from embersill.lab.settings import lab_settings
-from embersill.lab.standins import HOST, Behaviour
+from embersill.rig.deployment import Deployment, Shape, play
+from embersill.rig.processes import free_ports
+from embersill.rig.settings import lab_settings
+from embersill.rig.standins import HOST, Behaviour
 from embersill.tiers.forwarder import Forwarder
 from embersill.tiers.links import HANDSHAKE_WITHIN, ForwarderLinks, PlannerServer
 from embersill.tiers.messages import Ask, Batch, Lend
--- a/tests/tiers/test_takeover.py
+++ b/tests/tiers/test_takeover.py
@@ -7,7 +7,7 @@
 import pytest
 
 from embersill.interface import AttemptEnded, ListKind, Outcome, Refuse, Status
-from embersill.lab.settings import lab_settings
+from embersill.rig.settings import lab_settings
 from embersill.tiers.messages import Batch, Grant, Recall, Refused
 from embersill.tiers.parts import part_of
 from tests.tiers.helpers import PARTS, TERMS, Bench, backends
