--- a/embersill/council/offices.py
+++ b/embersill/council/offices.py
@@ -113,6 +113,7 @@
         self.seen_at = now
         self.looked_at = now
         self.gave_at = float("-inf")
+        self.lapsed: dict[str, float] = {}  # owners whose leases ran out, and when that was seen here
         self.busy = False
         self.renew_at = now
         self.misses = 0
@@ -259,6 +260,8 @@
             self.missed(now)
             if result.how is How.DONE:
                 self.misses, self.again_at = 0, now
+                if before.held.holder:
+                    self.lapsed[before.held.holder] = now
                 self.observe(result.entry, now)
                 until = result.began + self.terms.usable
                 if now < until and not self.leaving:
@@ -308,7 +311,7 @@
         for name in self.order:
             if name == self.member.me:
                 return ""
-            if now - self.member.well_since(name) >= self.terms.settle_back:
+            if now - max(self.member.well_since(name), self.lapsed.get(name, 0.0)) >= self.terms.settle_back:
                 return name
         return ""
 
--- a/embersill/council/probes.py
+++ b/embersill/council/probes.py
@@ -63,6 +63,7 @@
 
     suspected_at: float
     probed_at: float = float("-inf")
+    turn: int = 0  # the number of its last probe
     bad: int = 0  # probes that failed, in a row
     good: int = 0
     out: bool = False  # the verdict: it can't be used
@@ -99,7 +100,7 @@
         for name in [n for n, c in self.cases.items()
                      if not c.out and not c.asked and now - c.suspected_at > FORGET]:
             del self.cases[name]
-        waiting = sorted((c.probed_at, n) for n, c in self.cases.items() if not c.asked and (
+        waiting = sorted((c.turn, n) for n, c in self.cases.items() if not c.asked and (
             c.out or c.bad or now - c.suspected_at <= SUSPECTED_FOR))
         found: list[str] = []
         for _, name in waiting:
@@ -108,7 +109,7 @@
             self.tokens -= 1.0
             self.counts["probes"] += 1
             case = self.cases[name]
-            case.asked, case.probed_at = True, now
+            case.asked, case.probed_at, case.turn = True, now, self.counts["probes"]
             found.append(name)
         return found
 
--- a/embersill/council/usage.py
+++ b/embersill/council/usage.py
@@ -64,6 +64,7 @@
         self.records: list[Record] = []
         self.batches: dict[int, list[Use]] = {}  # closed and not confirmed
         self.closed = self.confirmed = 0
+        self.safe = 0  # the last batch on disk: before that none is offered, or its number comes again
         self.close_at = 0.0
         self.units = {"noted": 0.0, "closed": 0.0, "confirmed": 0.0}  # of this life
 
@@ -145,13 +146,14 @@
 
     def offers(self, most: int) -> list[tuple[int, list[Use]]]:
         """The next batches to be booked, in order."""
-        return [(number, self.batches[number]) for number in sorted(self.batches)[:most]]
+        numbers = sorted(number for number in self.batches if number <= self.safe)
+        return [(number, self.batches[number]) for number in numbers[:most]]
 
     def confirm(self, number: int) -> None:
         """The owner says that batches up to this one are booked."""
         if number > self.closed:  # the disk was put back: these numbers were used before, for what they say
             self.batches.clear()
-            self.name, self.closed, self.confirmed = f"{self.name}'", 0, 0
+            self.name, self.closed, self.confirmed, self.safe = f"{self.name}'", 0, 0, 0
             self.records.append(Stream(self.name, 0, 0))
         elif number > self.confirmed:
             self.records.append(Done(number))
@@ -192,9 +194,10 @@
         self.write_anew()
 
     def write_anew(self) -> None:
+        self.journal.rewrite(msgspec.msgpack.encode(record) for record in self.tally.whole())
         self.tally.take_notes()
         self.tally.records.clear()
-        self.journal.rewrite(msgspec.msgpack.encode(record) for record in self.tally.whole())
+        self.tally.safe = self.tally.closed
 
     def note(self) -> bool:
         """Writes what was used since, without a sync: it survives the process. False if the disk is ill."""
@@ -212,7 +215,10 @@
             return True
         if self.journal.grown:
             return self.mend()
-        return self.write(records, sync=True)
+        if not self.write(records, sync=True):
+            return False
+        self.tally.safe = self.tally.closed
+        return True
 
     def write(self, records: list[Record], sync: bool) -> bool:
         try:
--- a/embersill/lab/council/fences.py
+++ b/embersill/lab/council/fences.py
@@ -193,10 +193,15 @@
         "noted-first", USAGE, "a batch is closed with use that is not on disk as noted yet",
         "if now < self.close_at or not self.sums or self.notes:", "if now < self.close_at or not self.sums:",
     ),
+    Fence(
+        "offered-first", USAGE, "a batch is offered before it is on disk, and its number comes again",
+        "numbers = sorted(number for number in self.batches if number <= self.safe)",
+        "numbers = sorted(self.batches)",
+    ),
     Fence(
         "kept-batch", USAGE, "a planner forgets a batch once it is offered",
-        "return [(number, self.batches[number]) for number in sorted(self.batches)[:most]]",
-        "return [(n, self.batches.pop(n)) for n in sorted(self.batches)[:most]]",
+        "return [(number, self.batches[number]) for number in numbers[:most]]",
+        "return [(number, self.batches.pop(number)) for number in numbers[:most]]",
     ),
 )
 BY_NAME = {fence.name: fence for fence in FENCES}
--- a/embersill/lab/council/generate.py
+++ b/embersill/lab/council/generate.py
@@ -10,7 +10,8 @@
 from embersill.world.swarm import log_uniform, some_of
 
 KINDS = ("cut", "one way", "hold", "part", "chain", "kill", "power", "lost disk", "old disk", "pause",
-         "clone", "forge", "billing", "all killed", "full", "leave", "owner by turns")
+         "clone", "forge", "billing", "all killed", "full", "leave", "owner by turns", "slow renewal",
+         "slow taking", "forgetful", "power in the middle", "owner cut off")
 BEGIN = 1.5  # seconds: all have founded, and hold something
 SECONDS = 6.0
 
@@ -32,8 +33,12 @@
     shape: dict[str, Any] = {"members": members, "weather": weather, "drifts": drifts, "seconds": SECONDS,
                              "late_effects": chance.choice((0.0, 0.05, 0.3)),
                              "bad": [f"b{n}" for n in range(12) if chance.random() < 0.15]}
-    if chance.random() < 0.3:
+    draw = chance.random()
+    if draw < 0.25:
         shape["terms"] = {"lease": 0.3, "renew_every": 0.08, "attempt": 0.1, "stagger": 0.0}
+    elif draw < 0.5:  # long leases: what a clock is off by shows
+        shape["terms"] = {"lease": 1.2, "renew_every": 0.25, "stagger": 0.0}
+    shape["slow_disk"] = chance.choice((0.02, 0.02, 0.4))
     return shape
 
 
@@ -121,6 +126,28 @@
             self.add("full", at, who, seconds=seconds)
         elif kind == "leave":
             self.add("leave", at, who, seconds=seconds)
+        elif kind == "owner cut off":
+            self.add("cut_off", at, "@work", seconds=chance.uniform(0.8, 2.5))
+        elif kind == "slow renewal":  # others see it at once, and its owner hears late, and then no more
+            late = chance.uniform(0.06, 0.14)
+            self.add("deafen", at, "@work", seconds=late)
+            self.add("cut_off", at + late + 0.004, "@work", seconds=2.0)
+        elif kind == "slow taking":  # the same as an office changes hands
+            self.add("kill", at, "@work", seconds=1.0, disk="keep")
+            for n in range(14):
+                self.add("slow_all", at + 0.25 + 0.1 * n, seconds=0.09)
+            self.add("watch_take", at + 0.05, seconds=2.0)
+        elif kind == "forgetful" and self.may_lose(who):
+            self.add("kill", at, who, seconds=0.1, disk="empty")
+            back = at + chance.uniform(0.5, 1.2)
+            rest = [name for name in names if name != who]
+            few = chance.sample(rest, max(len(names) // 2, 0))
+            self.add("part", back, seconds=1.5,
+                     groups=[sorted([who, *few]), sorted(set(rest) - set(few))])
+        elif kind == "power in the middle":
+            for name in names:
+                self.add("kill", at + chance.uniform(0.0, 0.004), name, seconds=chance.uniform(0.05, 0.4),
+                         disk="power")
         elif kind == "owner by turns":
             for n, name in enumerate(chance.sample(names, len(names))):
                 self.add(chance.choice(("pause", "kill")), at + n * chance.uniform(0.2, 0.8), name,
--- a/embersill/lab/council/world.py
+++ b/embersill/lab/council/world.py
@@ -3,7 +3,9 @@
 The steps' words: cut (`who` to `to` for `seconds`, one direction), hold (what is sent there waits), part
 (`groups`: they don't hear each other), kill (`who`, back after `seconds`; `disk`: keep, power, empty, old),
 backup (`who`: what `old` puts back), pause, clone (`who`: a second process with a copy of the disk), forge
-(`who` sends an act of an office under `number` that is not its own), billing (`how` silent, late, busy for
+(`who` sends an act of an office under `number` that is not its own), cut_off (`who` hears nobody and is
+heard by nobody), deafen (what is said to `who` waits), slow_all (all that is said waits), watch_take (whoever
+takes the work next is cut off at once), billing (`how` silent, late, busy for
 `seconds`), full (`who`: its disk takes nothing more for `seconds`), leave (`who`, back after `seconds`).
 """
 
@@ -16,6 +18,8 @@
 from typing import Any
 
 
+import msgspec
+
 from embersill.council.desk import Batch, Desk
 from embersill.council.export import Answered, Call, meta_of
 from embersill.council.journal import Damaged, Journal
@@ -106,7 +110,7 @@
         if at_once:
             self.save(batch, self.life)
         else:
-            slow = 0.05 if self.chance.random() < 0.02 else 0.002
+            slow = 0.05 if self.chance.random() < self.world.slow_disk else 0.002
             self.after(slow * self.chance.random(), self.save, batch, self.life)
 
     def save(self, batch: Batch, life: int) -> None:
@@ -245,6 +249,8 @@
         self.drifts: dict[str, float] = dict(zip(self.names, shape.get("drifts", ()), strict=False))
         self.seconds: float = shape.get("seconds", 6.0)
         self.late_effects: float = shape.get("late_effects", 0.05)
+        self.slow_disk: float = shape.get("slow_disk", 0.02)
+        self.watching = -1.0  # until when whoever takes the work is cut off
         self.bad = frozenset(shape.get("bad", ()))
         self.books, self.billing = Books(), StandInBilling()
         self.billing.chance = self.kernel.stream("billing")
@@ -289,6 +295,9 @@
         if post.mine is None:
             return
         self.counts["takes"] += 1
+        if post.office == WORK and self.kernel.now < self.watching:
+            self.watching = -1.0
+            self.cut_off(node.name, 2.0)
         key = post.office, post.mine.number
         mine = f"{node.name}/{node.life}"
         if self.takes.setdefault(key, mine) != mine:
@@ -420,6 +429,12 @@
 
     def do(self, step: Step) -> None:
         now = self.kernel.now
+        if step.who.startswith("@"):  # whoever holds that office now
+            holder = next((node.name for node in self.nodes.values() if node.alive and
+                           node.seat.posts[step.who[1:]].held(node.clock())), "")
+            if not holder:
+                return
+            step = msgspec.structs.replace(step, who=holder)
         self.trace.add(Fault(now, step.what, step.who or str(step.args), step.seconds))
         getattr(self, f"do_{step.what}")(step)
 
@@ -429,6 +444,27 @@
     def do_hold(self, step: Step) -> None:
         self.network.hold_for(step.who, step.to, step.seconds)
 
+    def cut_off(self, who: str, seconds: float) -> None:
+        for name in self.names:
+            if name != who:
+                self.network.cut_for(who, name, seconds)
+                self.network.cut_for(name, who, seconds)
+
+    def do_cut_off(self, step: Step) -> None:
+        self.cut_off(step.who, step.seconds)
+
+    def do_deafen(self, step: Step) -> None:
+        for name in self.names:
+            if name != step.who:
+                self.network.hold_for(name, step.who, step.seconds)
+
+    def do_slow_all(self, step: Step) -> None:
+        for name in self.names:
+            self.do_deafen(msgspec.structs.replace(step, who=name))
+
+    def do_watch_take(self, step: Step) -> None:
+        self.watching = self.kernel.now + step.seconds
+
     def do_part(self, step: Step) -> None:
         groups: list[list[str]] = step.args["groups"]
         for group in groups:
--- /dev/null
+++ b/tests/council/test_export.py
@@ -0,0 +1,330 @@
+"""Use: noted, kept, offered, booked once, wherever its owner dies."""
+
+from __future__ import annotations
+
+import json
+import random
+
+import pytest
+
+from embersill.council.export import (
+    KEY, MOST_STREAMS, RESIGN_AFTER, Answered, Call, Exporter, Step, meta_of, read_booking,
+)
+from embersill.council.journal import Journal
+from embersill.council.messages import MOST_ENTRIES
+from embersill.council.offices import Mine, Post
+from embersill.council.usage import BATCH_EVERY, MOST_BATCHES, Tally, UseBook
+from embersill.rig.billing import MOST_STEP, StandInBilling
+from tests.council.helpers import TERMS, Bench
+from tests.council.test_journal import world_files
+
+
+def tally(name: str = "s") -> Tally:
+    made = Tally(10.0)
+    made.begin(name)
+    made.records.clear()
+    return made
+
+
+def closed(made: Tally, now: float = 100.0) -> None:
+    made.take_notes()
+    made.tick(now)
+    made.safe = made.closed
+
+
+# planners
+
+
+def test_use_is_gathered_by_customer_and_period_and_taken_back() -> None:
+    made = tally()
+    for units, wall in ((2.0, 1.0), (3.0, 9.0), (1.0, 11.0), (-3.0, 9.5)):
+        made.used("c", units, wall)
+    made.used("d", 5.0, 1.0)
+    made.used("d", -5.0, 1.0)
+    assert made.take_notes() is not None
+    made.tick(100.0)
+    assert made.batches[1] == [("c", 0, 2.0), ("c", 1, 1.0)] and not made.sums
+
+
+def test_a_batch_is_offered_once_it_is_on_disk_and_until_it_is_confirmed() -> None:
+    made = tally()
+    made.used("c", 2.0, 1.0)
+    made.take_notes()
+    made.tick(100.0)
+    assert not made.offers(8)
+    made.safe = made.closed
+    assert made.offers(8) == made.offers(8) == [(1, [("c", 0, 2.0)])]
+    made.confirm(1)
+    assert not made.offers(8) and made.status()["unreported"] == 0.0
+    made.confirm(1)
+    assert len(made.records) == 2  # closed and done, each once
+
+
+def test_batches_are_bounded_and_use_is_gathered_on_meanwhile() -> None:
+    made = tally()
+    for n in range(MOST_BATCHES + 20):
+        made.used("c", 1.0, 1.0)
+        closed(made, n * BATCH_EVERY)
+    assert len(made.batches) == MOST_BATCHES and made.sums == {("c", 0): 20.0}
+    for n in range(MOST_ENTRIES + 10):
+        made.used(f"c{n}", 1.0, 1.0)
+    made.confirm(MOST_BATCHES)
+    closed(made, 1e6)
+    assert [len(entries) for entries in made.batches.values()] == [MOST_ENTRIES, 11]
+
+
+def test_a_book_holds_all_of_it_over_a_kill() -> None:
+    files = world_files()
+    book = UseBook(Journal(files, "use", "use", "m0"), Tally(10.0))
+    book.open("s")
+    book.tally.used("c", 2.0, 1.0)
+    assert book.note()
+    book.tally.tick(100.0)
+    assert book.settle() and book.tally.offers(8)
+    book.tally.used("c", 3.0, 1.0)
+    assert book.note()
+    again = UseBook(Journal(files, "use", "use", "m0"), Tally(10.0))
+    again.open("another")
+    assert again.tally.name == "s" and again.tally.offers(8) == [(1, [("c", 0, 2.0)])]
+    assert again.tally.sums == {("c", 0): 3.0}
+
+
+def test_a_power_failure_loses_what_was_not_synced_and_no_more() -> None:
+    for seed in range(120):
+        files = world_files(seed)
+        book = UseBook(Journal(files, "use", "use", "m0"), Tally(10.0))
+        book.open("s")
+        chance, synced, noted = random.Random(seed), 0.0, 0.0
+        for n in range(chance.randint(2, 20)):
+            book.tally.used(f"c{n % 3}", 1.0, 1.0)
+            noted += 1.0
+            assert book.note()
+            if chance.random() < 0.3:
+                book.tally.tick(n * BATCH_EVERY)
+                if book.tally.records and book.settle():
+                    synced = noted
+        files.disk.crash()
+        again = UseBook(Journal(files, "use", "use", "m0"), Tally(10.0))
+        again.open("another")
+        left = sum(again.tally.sums.values()) + sum(
+            u for entries in again.tally.batches.values() for _, _, u in entries)
+        assert synced <= left <= noted and again.tally.safe >= book.tally.safe
+
+
+def test_a_full_disk_keeps_the_use_in_memory_and_writes_it_once_there_is_room() -> None:
+    files = world_files()
+    book = UseBook(Journal(files, "use", "use", "m0"), Tally(10.0))
+    book.open("s")
+    files.disk.fails = OSError(28, "no space left on the disk")
+    book.tally.used("c", 2.0, 1.0)
+    assert not book.note() and "space" in book.why
+    files.disk.fails = None
+    assert book.note() and not book.why
+    again = UseBook(Journal(files, "use", "use", "m0"), Tally(10.0))
+    again.open("another")
+    assert again.tally.sums == {("c", 0): 2.0}
+
+
+def test_a_copied_book_begins_a_stream_of_its_own() -> None:
+    files = world_files()
+    book = UseBook(Journal(files, "use", "use", "m0"), Tally(10.0))
+    book.open("s")
+    files.put_back(files.copied())
+    again = UseBook(Journal(files, "use", "use", "m0"), Tally(10.0))
+    again.open("another")
+    assert again.tally.name == "another" and "copy" in again.why
+
+
+def test_a_book_that_was_put_back_in_place_gives_up_its_numbers() -> None:
+    made = tally()
+    made.used("c", 2.0, 1.0)
+    closed(made)
+    made.confirm(7)  # the owner has booked more of this stream than there is here
+    assert made.name == "s'" and made.closed == 0 and not made.batches
+    made.used("c", 1.0, 1.0)
+    closed(made, 200.0)
+    assert made.offers(8)[0][0] == 1
+
+
+# the owner
+
+
+class Owner:
+    """An exporter that holds its office, a register of three, and billing."""
+
+    def __init__(self) -> None:
+        self.bench = Bench()
+        self.billing = StandInBilling()
+        self.number = 0
+        self.exporter = self.next()
+
+    def next(self) -> Exporter:
+        """A new owner, with nothing but the register to know of the old one."""
+        self.number += 1
+        member = self.bench.members["m0"]
+        for operation in list(member.operations.values()):
+            operation.done = lambda result, now: None
+        post = Post("export", member, TERMS, self.bench.now)
+        post.mine = Mine(self.number, self.bench.now, self.bench.now + 1e6)
+        self.exporter = Exporter(post, member)
+        return self.exporter
+
+    def call(self) -> Call | None:
+        call, self.exporter.call = self.exporter.call, None
+        if call is not None:
+            self.exporter.out = True
+        return call
+
+    def booked(self, call: Call) -> Answered:
+        headers = {"office-number": str(call.permit.act.number), "if-position": str(call.position),
+                   "office-holder": f"owner {call.permit.act.number}"}
+        method, path = ("PUT", "/usage/owner") if call.body is None else ("POST", "/usage")
+        body = b"" if call.body is None else json.dumps(call.body).encode()
+        status, told = self.billing.handle(method, path, headers, body, self.bench.now)
+        return Answered(status, told.get("position", -1), meta_of(told))
+
+    def go(self, seconds: float = 1.0) -> None:
+        end = self.bench.now + seconds
+        while self.bench.now < end:
+            self.exporter.tick(self.bench.now)
+            call = self.call()
+            if call is not None:
+                self.exporter.answered(call, self.booked(call), self.bench.now)
+            self.bench.settle(0.02)
+
+    def batches(self) -> list[tuple[str, int]]:
+        return [(batch["stream"], batch["number"]) for booked in self.billing.log
+                for batch in booked.body["batches"]]
+
+
+def test_what_is_offered_is_booked_in_order_and_confirmed() -> None:
+    owner = Owner()
+    assert owner.exporter.offer("s", 1, [("c", 0, 1.0)]) is None  # nothing is known yet
+    owner.go(0.5)
+    for number in (3, 1, 2):
+        assert owner.exporter.offer("s", number, [("c", 0, 1.0)]) == 0
+    owner.go()
+    assert owner.batches() == [("s", 1), ("s", 2), ("s", 3)]
+    assert owner.exporter.offer("s", 4, []) == 3 and owner.exporter.offer("t", 2, []) == 0
+    owner.go()
+    assert owner.batches()[3:] == [("s", 4)]  # t's first is missing
+
+
+@pytest.mark.parametrize("booked", [True, False])
+@pytest.mark.parametrize("point", range(24))
+def test_the_owner_dies_at_every_point_of_an_append(point: int, booked: bool) -> None:
+    """`point`: after so many steps of the machine; `booked`: its last call still comes to billing, late."""
+    owner = Owner()
+    late: list[Call] = []
+    for step in range(point):
+        owner.exporter.tick(owner.bench.now)
+        owner.exporter.offer("s", 1, [("c", 0, 1.0)])
+        owner.exporter.offer("s", 2, [("c", 0, 2.0)])
+        call = owner.call()
+        if call is not None and step == point - 1:
+            late.append(call)
+        elif call is not None:
+            owner.exporter.answered(call, owner.booked(call), owner.bench.now)
+        owner.bench.pass_on()
+        owner.bench.now += 0.02
+    if booked:
+        for call in late:
+            owner.booked(call)
+    owner.next()
+    owner.go(0.5)
+    for call in late if not booked else ():
+        assert owner.booked(call).status in (412, 409)
+    for _ in range(4):
+        for number in (1, 2):
+            owner.exporter.offer("s", number, [("c", 0, float(number))])
+        owner.go(0.5)
+    assert owner.batches() == [("s", 1), ("s", 2)]
+    assert owner.exporter.booking.confirmed == {"s": 2} and owner.exporter.step is Step.READY
+
+
+def test_an_append_without_an_answer_is_sent_again_the_same_and_booked_once() -> None:
+    owner = Owner()
+    owner.go(0.5)
+    owner.exporter.offer("s", 1, [("c", 0, 1.0)])
+    calls: list[Call] = []
+    for _ in range(80):
+        owner.exporter.tick(owner.bench.now)
+        call = owner.call()
+        if call is not None:
+            calls.append(call)
+            answer = owner.booked(call)
+            owner.exporter.answered(call, answer if len(calls) > 3 else Answered(0), owner.bench.now)
+        owner.exporter.offer("s", 2, [("c", 0, 1.0)])
+        owner.bench.settle(0.02)
+    assert owner.batches() == [("s", 1), ("s", 2)] and calls[0].body == calls[3].body
+    assert owner.exporter.counts["again"] >= 3
+
+
+def test_an_owner_whom_billing_does_not_answer_lets_another_try() -> None:
+    owner = Owner()
+    while not owner.exporter.counts["resigned"] and owner.bench.now < 120.0:
+        owner.exporter.tick(owner.bench.now)
+        call = owner.call()
+        if call is not None:
+            owner.exporter.answered(call, Answered(0), owner.bench.now)
+        owner.bench.settle(0.02)
+    assert owner.exporter.counts["resigned"] == 1
+    assert owner.exporter.post.resigned_until > owner.bench.now
+    assert owner.bench.now >= 102.0 + RESIGN_AFTER
+
+
+def test_a_billing_that_lost_its_log_halts_the_export_and_says_so() -> None:
+    owner = Owner()
+    owner.go(0.5)
+    for number in range(1, 4):
+        owner.exporter.offer("s", number, [("c", 0, 1.0)])
+        owner.go(0.5)
+    owner.billing.log.clear()
+    owner.next()
+    owner.go()
+    assert owner.exporter.step is Step.HALTED and "billing is at 0" in owner.exporter.why
+
+
+def test_a_council_that_lost_everything_takes_billing_s_own_word() -> None:
+    owner = Owner()
+    owner.go(0.5)
+    owner.exporter.offer("s", 1, [("c", 0, 1.0)])
+    owner.go()
+    owner.bench = Bench()
+    owner.next()
+    owner.go(0.5)
+    assert owner.exporter.offer("s", 1, [("c", 0, 1.0)]) == 1
+    owner.go()
+    assert owner.batches() == [("s", 1)]
+
+
+def test_streams_are_bounded() -> None:
+    owner = Owner()
+    owner.go(0.5)
+    for n in range(MOST_STREAMS + 5):
+        owner.exporter.offer(f"s{n}", 1, [("c", 0, 1.0)])
+        if n % 16 == 0:
+            owner.go(0.5)
+    owner.go()
+    assert owner.exporter.offer("one more", 1, []) is None and "streams" in owner.exporter.why
+    read = owner.bench.read("m1", KEY)
+    owner.bench.settle(0.5)
+    assert read[0].entry is not None
+    assert len(read_booking(read[0].entry).confirmed) >= MOST_STREAMS
+
+
+def test_billing_refuses_old_numbers_far_ones_and_two_with_one() -> None:
+    billing = StandInBilling()
+
+    def claim(number: int, holder: str) -> int:
+        return billing.handle("PUT", "/usage/owner", {"office-number": str(number), "office-holder": holder},
+                              b"", 0.0)[0]
+
+    assert [claim(3, "a"), claim(2, "b"), claim(3, "c"), claim(3 + MOST_STEP + 1, "a"), claim(4, "c")] == [
+        200, 412, 412, 422, 200]
+    assert billing.handle("PUT", "/usage/owner", {}, b"", 0.0)[0] == 400
+
+
+def test_what_billing_tells_beside_is_checked() -> None:
+    assert meta_of({"meta": {"s": 1}}) == {"s": 1}
+    assert meta_of({}) is None and meta_of({"meta": {"s": "x"}}) is None and meta_of({"meta": 3}) is None
