--- a/embersill/council/chair.py
+++ b/embersill/council/chair.py
@@ -69,6 +69,7 @@
         self.places: Callable[[], dict[str, tuple[str, int]]] = lambda: {}  # of backends that could serve
         self.leave_out: Callable[[str, bool], None] = lambda backend, out: None
         self.was = ""
+        self.syncing = False  # the thread syncs the journal of use
 
     def load(self, register: Register) -> None:
         try:
@@ -135,11 +136,10 @@
         if done.cancelled():
             return
         error = done.exception()
-        if isinstance(error, OSError):
-            log.error("this planner has no vote in the council any more: its disk: %s", error.strerror)
-            return self.desk.failed(error.strerror or "it failed")
         if error is not None:
-            raise error
+            why = error.strerror if isinstance(error, OSError) and error.strerror else str(error)
+            log.error("this planner has no vote in the council any more: its disk: %s", why)
+            return self.desk.failed(why)
         self.desk.written(batch)
         return self.send()
 
@@ -149,11 +149,28 @@
             self.uses.note()
 
     def settle(self) -> None:
-        """Batches that were closed or confirmed are synced, twice a second at most."""
+        """Batches that were closed or confirmed are synced by the thread, twice a second or so."""
         uses = self.uses
-        if uses is not None and (uses.tally.records or uses.why):
-            uses.note()
+        if uses is None or self.syncing or not (uses.tally.records or uses.why):
+            return
+        uses.note()
+        if uses.why or uses.journal.grown:  # seldom: all that matters is written anew
             uses.settle()
+            return
+        closed = uses.write_closed()
+        if closed is not None:
+            self.syncing = True
+            future = self.loop.run_in_executor(self.writer, uses.journal.sync)
+            future.add_done_callback(lambda done: self.synced(*closed, done))
+
+    def synced(self, stream: str, closed: int, done: asyncio.Future[None]) -> None:
+        assert self.uses is not None
+        self.syncing = False
+        error = None if done.cancelled() else done.exception()
+        if error is not None:
+            self.uses.why = str(error)
+        elif not done.cancelled():
+            self.uses.synced(stream, closed)
 
     # time
 
--- a/embersill/council/journal.py
+++ b/embersill/council/journal.py
@@ -210,6 +210,10 @@
         if sync:
             self.files.sync(self.name)
 
+    def sync(self) -> None:
+        """All that was written is safe once this returns."""
+        self.files.sync(self.name)
+
     @property
     def grown(self) -> bool:
         """It is time to rewrite it with what still matters."""
--- a/embersill/council/usage.py
+++ b/embersill/council/usage.py
@@ -208,18 +208,35 @@
 
     def settle(self) -> bool:
         """Writes what was closed and confirmed, and syncs it and all before it."""
-        if self.why and not self.mend():
-            return False
-        records, self.tally.records = self.tally.records, []
-        if not records:
-            return True
-        if self.journal.grown:
+        if self.why or self.journal.grown:
             return self.mend()
-        if not self.write(records, sync=True):
+        closed = self.write_closed()
+        if closed is None:
+            return not self.why
+        try:
+            self.journal.sync()
+        except OSError as error:
+            self.why = error.strerror or "it failed"
             return False
-        self.tally.safe = self.tally.closed
+        self.synced(*closed)
         return True
 
+    def write_closed(self) -> tuple[str, int] | None:
+        """Writes what was closed and confirmed, without a sync; what to call `synced` with after one.
+
+        None if there is nothing to sync, or the disk is ill.
+        """
+        records, self.tally.records = self.tally.records, []
+        if not records or not self.write(records, sync=False):
+            return None
+        return self.tally.name, self.tally.closed
+
+    def synced(self, stream: str, closed: int) -> None:
+        """All that stood in the journal as `write_closed` ended is on disk: batches up to there may be
+        offered."""
+        if stream == self.tally.name:
+            self.tally.safe = max(self.tally.safe, closed)
+
     def write(self, records: list[Record], sync: bool) -> bool:
         try:
             self.journal.write([msgspec.msgpack.encode(record) for record in records], sync)
