--- a/tests/council/test_settings.py
+++ b/tests/council/test_settings.py
@@ -13,7 +13,7 @@
 from tests.configuration.test_operator import EXAMPLE, written
 
 PLANNER = EXAMPLE.replace('role = "forwarder"', 'role = "planner"')
-COUNCIL = "[council]" + EXAMPLE.partition("# [council]")[2].partition("# The gRPC")[0].replace(
+COUNCIL = "[council]" + EXAMPLE.partition("# [council]")[2].partition("# What a gateway")[0].replace(
     "\n# ", "\n").replace("\n#\n", "\n")
 
 
