On reading the change again: one piece each for digests, relayed ways and rules' names

Change: digest_of, Deployment.relayed and playing.RULES serve both sides; advice is looked through only while there is some. An untyped task, a roundabout Origin and stale docstrings are put right. Behaviour is as before.

--- a/embersill/council/chair.py
+++ b/embersill/council/chair.py
@@ -10,8 +10,9 @@
 import logging
 import os
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from concurrent.futures import ThreadPoolExecutor
+from typing import Any
 
 import aiohttp
 
@@ -183,8 +184,9 @@
         self.tell_changes()
         for backend in seat.probes_due(now):
             self.begin(self.probe(backend))
-        for backend, out in seat.advice.changes({name: True for name in self.places()}, now):
-            self.leave_out(backend, out)
+        if seat.advice.out_until or seat.advice.out:  # else there is nothing to look through all backends for
+            for backend, out in seat.advice.changes({name: True for name in self.places()}, now):
+                self.leave_out(backend, out)
         exporter = seat.exporter
         if exporter is not None and exporter.call is not None:
             call, exporter.call, exporter.out = exporter.call, None, True
@@ -198,8 +200,8 @@
             log.warning("council: %s", f"no vote: {why}" if why else "this member votes again")
         self.was = why if why not in ("starting", "founded") else self.was
 
-    def begin(self, work: object) -> None:
-        task: asyncio.Task[None] = self.loop.create_task(work)  # type: ignore[arg-type]
+    def begin(self, work: Coroutine[Any, Any, None]) -> None:
+        task = self.loop.create_task(work)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
--- a/embersill/council/journal.py
+++ b/embersill/council/journal.py
@@ -156,7 +156,7 @@
 
 
 class Journal:
-    """The records of one owner in one file. `open` first; then `append`, and `sync` before they count."""
+    """The records of one owner in one file. `open` first; what is written counts once it is synced."""
 
     def __init__(self, files: Files, name: str, kind: str, owner: str) -> None:
         self.files, self.name, self.kind, self.owner = files, name, kind, owner
@@ -202,13 +202,12 @@
         self.size = self.kept = len(content)
 
     def write(self, records: Iterable[bytes], sync: bool = True) -> None:
-        """Appends one frame; with `sync` it is safe once this returns, and only then may it be answered
-        for."""
+        """Appends one frame. With `sync` it is safe once this returns, and may be answered for."""
         data = sealed(records)
         self.files.append(self.name, data)
         self.size += len(data)
         if sync:
-            self.files.sync(self.name)
+            self.sync()
 
     def sync(self) -> None:
         """All that was written is safe once this returns."""
--- a/embersill/council/links.py
+++ b/embersill/council/links.py
@@ -8,18 +8,15 @@
 from __future__ import annotations
 
 import asyncio
-import hashlib
 import logging
 import os
 from collections.abc import Callable, Iterable
 
-import msgspec
-
 from embersill.council.messages import VERSION, Answer, Question, Reply, packed, read_question, read_reply
 from embersill.council.terms import CouncilTerms
 from embersill.tiers.frames import Dialler, FrameProtocol, TakenProtocol
 from embersill.tiers.messages import BadFrame
-from embersill.tiers.wire import ForwarderSide, PlannerSide, Secret, framed
+from embersill.tiers.wire import ForwarderSide, PlannerSide, Secret, digest_of, framed
 
 MOST_FRAME = 8 << 20  # bytes: a whole register
 MOST_UNSENT = 16 << 20
@@ -32,8 +29,7 @@
 
 def council_digest(members: Iterable[str], terms: CouncilTerms) -> str:
     """What all members' files must say alike."""
-    said = msgspec.msgpack.encode(["council", VERSION, sorted(members), terms])
-    return hashlib.blake2b(said, digest_size=8).hexdigest()
+    return digest_of(["council", VERSION, sorted(members), terms])
 
 
 class TakenLink(TakenProtocol):
--- a/embersill/council/member.py
+++ b/embersill/council/member.py
@@ -14,8 +14,8 @@
 from enum import Enum
 
 from embersill.council.messages import (
-    NOUGHT, Accept, Accepted, Answer, Ask, Ballot, Entry, Hello, Here, Join, Life, Peek, Prepare, Refused,
-    State, Superseded, Told,
+    NOUGHT, Accept, Accepted, Answer, Ask, Ballot, Entry, Hello, Here, Join, Life, Origin, Peek, Prepare,
+    Refused, State, Superseded, Told,
 )
 from embersill.council.register import Register
 from embersill.council.terms import CouncilTerms, majority
@@ -393,9 +393,7 @@
         self.learning = Life(latest + 1, f"{self.chance.getrandbits(64):016x}")
         self.states = {}
         for name in self.others:
-            origin = self.register.origin
-            ask = Join(type(origin)(self.me, self.learning, origin.mark))
-            self.outbox.append((name, 0, ask))
+            self.outbox.append((name, 0, Join(Origin(self.me, self.learning, self.register.safe))))
 
     def state_came(self, name: str, state: State) -> None:
         learning = self.learning
--- a/embersill/council/register.py
+++ b/embersill/council/register.py
@@ -96,8 +96,7 @@
     # the disk
 
     def load(self, records: list[bytes] | None) -> None:
-        """What a journal holds; None if there is none, or none that can be believed. ValueError for
-        garbage."""
+        """What a journal holds; None if none can be believed. ValueError for a record that is none."""
         for text in records or ():
             try:
                 record = _decoder.decode(text)
--- a/embersill/rig/deployment.py
+++ b/embersill/rig/deployment.py
@@ -104,11 +104,14 @@
 
     # ways
 
+    def relayed(self) -> list[str]:
+        """The ways that go over relays: only processes dial."""
+        return [way for way in self.names.ways(self.shape.relayed)
+                if self.names.roles[way.partition(">")[0]] in ("planner", "forwarder", "gateway")]
+
     async def lay_ways(self) -> None:
-        for name in self.names.ways(self.shape.relayed):
+        for name in self.relayed():
             begin, _, end = name.partition(">")
-            if self.names.roles[begin] not in ("planner", "forwarder", "gateway"):
-                continue  # only processes dial
             way = self.ways[name] = Way(name, self.target_of(begin, end), self.shape.seed)
             await way.start()
 
--- a/embersill/rig/playing.py
+++ b/embersill/rig/playing.py
@@ -59,7 +59,7 @@
     async def run(self, meanwhile: Callable[[Deployment], Awaitable[None]] | None = None) -> dict[str, Any]:
         """Starts all, plays all, ends all; tells the figures. `meanwhile` runs beside the traffic."""
         deployment, loop = self.deployment, asyncio.get_running_loop()
-        self.faults = planned(self.scenario, deployment.names, await self.relayed())
+        self.faults = planned(self.scenario, deployment.names, deployment.relayed())
         try:
             await deployment.start()
             began = loop.time()
@@ -78,12 +78,6 @@
             deployment.close()
         return self.told(codes)
 
-    async def relayed(self) -> list[str]:
-        """The ways that go over relays; the same as the deployment lays."""
-        names = self.deployment.names
-        return [way for way in names.ways(self.deployment.shape.relayed)
-                if names.roles[way.partition(">")[0]] in ("planner", "forwarder", "gateway")]
-
     def told(self, codes: dict[str, int]) -> dict[str, Any]:
         books = self.deployment.books
         rules = Rules(books.rule_terms(), lambda customer: customer)
--- a/embersill/tiers/wire.py
+++ b/embersill/tiers/wire.py
@@ -84,8 +84,12 @@
 
 def digest(forwarders: Iterable[str], parts: int, terms: Terms) -> str:
     """Shares and leases hold only among members that count them alike; planners may come and go."""
-    said = msgspec.msgpack.encode([sorted(forwarders), parts, terms])
-    return hashlib.blake2b(said, digest_size=8).hexdigest()
+    return digest_of([sorted(forwarders), parts, terms])
+
+
+def digest_of(said: list[object]) -> str:
+    """What both ends of a link have to say alike, in few characters."""
+    return hashlib.blake2b(msgspec.msgpack.encode(said), digest_size=8).hexdigest()
 
 
 def check_form(said: Challenge | Proof) -> None:
--- a/tests/tiers/test_links.py
+++ b/tests/tiers/test_links.py
@@ -8,6 +8,7 @@
 import pytest
 
 from embersill.rig.deployment import Deployment, Shape, play
+from embersill.rig.playing import RULES
 from embersill.rig.processes import free_ports
 from embersill.rig.settings import lab_settings
 from embersill.rig.standins import HOST, Behaviour
@@ -24,8 +25,6 @@
 from tests.peers import SOON
 
 KEY = b"k" * 32
-RULES = ("answers_none", "answers_two", "answers_wrong", "unsafe_twice", "keyed_twice", "refused_after_run",
-         "unknown_sent", "late_drain_sends", "ceiling_over_slack")
 
 
 async def planner() -> PlannerServer:
