The cause table: why tries were refused on a half-broken network, and what could be granted

Need: with ways between forwarders and planners in trouble a quarter to two fifths of what could be served is refused, with no rule broken; which fence does it was a list of suspects only.

Change: each refusal is named by the limit that it would have waited for the longest and by how its part stood (whole, unproven, in part; alone, alone and still lent, not taken); forwarders count them in their status and, with `tell_refusals`, write a line on each.

--- a/embersill/configuration/operator.py
+++ b/embersill/configuration/operator.py
@@ -38,6 +38,7 @@
     most_customers: int = 100_000
     most_open: int = 50_000
     status_every: float = 0.0  # seconds between lines on the state, on standard output; nought: none
+    tell_refusals: bool = False  # a forwarder writes a line on each refusal, for whoever looks for causes
     terms: Terms = Terms()
 
 
@@ -68,6 +69,7 @@
     most_customers: int
     most_open: int
     status_every: float
+    tell_refusals: bool
     terms: Terms
 
 
@@ -169,4 +171,5 @@
         raise ValueError(f"tiers.secret_file: {table.secret_file} has fewer than {LEAST_SECRET} bytes")
     return Tiers(
         planners, tuple(table.forwarders), secret, table.parts, table.most_frame_bytes,
-        table.most_unsent_bytes, table.most_customers, table.most_open, table.status_every, table.terms)
+        table.most_unsent_bytes, table.most_customers, table.most_open, table.status_every,
+        table.tell_refusals, table.terms)
--- a/embersill/rig/books.py
+++ b/embersill/rig/books.py
@@ -37,6 +37,16 @@
         return self.level
 
 
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """A try that was refused, and whether its customer had room by the books then."""
+
+    when: float
+    asked: Asked
+    quota_left: bool
+    ceiling_left: bool
+
+
 @dataclass(slots=True)
 class Asked:
     """One try of a client."""
@@ -68,6 +78,7 @@
         self.cells: dict[str, int] = {}
         self.counts: Counter[str] = Counter()
         self.latencies: list[float] = []
+        self.refusals: list[Refusal] = []
         self.ceiling_lowest = 0.0
         self.units = self.beyond_quota = 0.0  # of plans with a quota: sent on, and of them beyond it
         self.breaches: list[str] = []
@@ -129,11 +140,13 @@
             klass = self.classes[asked.klass]
             if asked.runs and klass.repeats is not Repeats.SAFE:
                 self.breach("refused_after_run", asked.call_id)
-            plan = self.plans[asked.plan]
-            if plan.rate > 0:
-                level = self.quota(asked, plan, now)
-                if level.at(now - BEFORE) >= asked.units:
-                    self.counts["refused_with_quota_left"] += 1
+            plan, ceiling = self.plans[asked.plan], self.ceilings.get(asked.customer)
+            quota_left = plan.rate <= 0 or self.quota(asked, plan, now).at(now - BEFORE) >= asked.units
+            if plan.rate > 0 and quota_left:
+                self.counts["refused_with_quota_left"] += 1
+            if len(self.refusals) < MOST_RECORDS:
+                self.refusals.append(Refusal(
+                    now, asked, quota_left, ceiling is None or ceiling.at(now - BEFORE) >= asked.units))
         else:
             self.counts["failed"] += 1
         return None
--- a/embersill/rig/deployment.py
+++ b/embersill/rig/deployment.py
@@ -51,6 +51,7 @@
     council_tables: str = ""  # tables below [council], with BILLING for billing's address; "" is no council
     relayed: tuple[str, ...] = ()  # ways that go over relays, in the words of scenarios
     zones: dict[str, list[str]] = field(default_factory=dict)
+    tell_refusals: bool = False  # forwarders write a line on each
 
 
 class Deployment:
@@ -152,7 +153,8 @@
         planners = {p: self.dialled(name, p, f"{HOST}:{port}") if role == "forwarder" else f"{HOST}:{port}"
                     for p, port in self.ports.items()}
         lines = [f'role = "{role}"', "[tiers]", f"forwarders = {json.dumps(forwarders)}",
-                 'secret_file = "secret"', f"status_every = {self.shape.status_every}", "[tiers.planners]",
+                 'secret_file = "secret"', f"status_every = {self.shape.status_every}",
+                 f"tell_refusals = {str(self.shape.tell_refusals).lower()}", "[tiers.planners]",
                  *(f'{p} = "{address}"' for p, address in planners.items())]
         text = "\n".join(lines) + "\n"
         if role == "planner":
--- a/embersill/rig/processes.py
+++ b/embersill/rig/processes.py
@@ -24,6 +24,7 @@
     def __init__(self, name: str, role: str, command: list[str], environ: dict[str, str]) -> None:
         self.name, self.role, self.command, self.environ = name, role, command, environ
         self.on_status: Callable[[Member], None] = lambda member: None
+        self.on_refusal: Callable[[Member, dict[str, Any]], None] = lambda member, told: None
         self.lives = 0
         self.process: asyncio.subprocess.Process | None = None
         self.status: dict[str, Any] = {}
@@ -44,7 +45,9 @@
     async def read(self, stream: asyncio.StreamReader, status: bool) -> None:
         while line := await stream.readline():
             text = line.decode(errors="replace").rstrip()
-            if status and text.startswith("{"):
+            if status and text.startswith('{"refusal"'):
+                self.on_refusal(self, json.loads(text))
+            elif status and text.startswith("{"):
                 self.status = json.loads(text)
                 self.on_status(self)
             elif len(self.log) < MOST_LOG:
--- a/embersill/tiers/forwarder.py
+++ b/embersill/tiers/forwarder.py
@@ -10,7 +10,8 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Iterable
+from collections import Counter
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 
 from embersill.control import Gateway
@@ -24,6 +25,7 @@
     Recall, Refused, Returned, Spent, Taken, Withdrawn,
 )
 from embersill.tiers.parts import part_of, ranking
+from embersill.tiers.reasons import lacking
 from embersill.tiers.terms import Terms
 
 LENT_AT_ONCE = 2000  # customers whose spends are reported in one go, or those of one part: some 20 ms
@@ -117,6 +119,8 @@
         self.actions: list[Action] = []
         self.dead: list[str] = []  # planners whose links are to be closed: nothing is heard on them
         self.withdrawn: list[str] = []  # backends that planners say drain, for the driver's pool
+        self.refusals: Counter[str] = Counter()  # by reason
+        self.on_refused: Callable[[Request, str], None] | None = None  # for whoever wants each
         self.counts = {"asked": 0, "local": 0, "moved": 0, "stale": 0}
         self.now = now
         self.stopping = False
@@ -266,6 +270,9 @@
             elif isinstance(action, Refuse | Fail):
                 task = self.tasks[action.request]
                 task.over = True
+                if isinstance(action, Refuse):
+                    throttle = self.local.throttles.get(task.request.customer)
+                    self.refused(task, f"{lacking(throttle, task.request.units)}, {self.state(task.part)}")
                 self.forget(task)
             self.actions.append(action)
 
@@ -391,10 +398,22 @@
         number = task.request.id
         if isinstance(message, Refused):
             self.actions.append(Refuse(number, message.retry_after))
+            self.refused(task, message.why)
         else:
             self.actions.append(Fail(number))
         self.forget(task)
 
+    def refused(self, task: Task, why: str) -> None:
+        self.refusals[why] += 1
+        if self.on_refused is not None:
+            self.on_refused(task.request, why)
+
+    def state(self, part: Part) -> str:
+        """How this forwarder's share of a part stands where it decides itself."""
+        if part.holder is not None:
+            return "not taken"  # by the planner that was asked
+        return "alone, still lent" if part.free_at() > self.now else "alone"
+
     # whom each part is lent to
 
     def review(self) -> None:
@@ -522,4 +541,5 @@
             name = part.holder.name if part.holder is not None else ""
             holders[name] = holders.get(name, 0) + 1
         fit = sorted(link.name for link in self.links.values() if link.fit)
-        return {"links": fit, "holders": holders, "open": len(self.tasks), **self.counts}
+        return {"links": fit, "holders": holders, "open": len(self.tasks), **self.counts,
+                "refusals": dict(self.refusals)}
--- a/embersill/tiers/messages.py
+++ b/embersill/tiers/messages.py
@@ -127,6 +127,7 @@
 
     ask: Number
     retry_after: Figure
+    why: Text = ""  # for whoever watches: which limit, and how the part stood (reasons.py)
 
 
 class Failed(Message, frozen=True, tag=13):
--- a/embersill/tiers/planner.py
+++ b/embersill/tiers/planner.py
@@ -24,6 +24,7 @@
     Lend, Open, Recall, Refused, Returned, Spent, Taken, Withdrawn,
 )
 from embersill.tiers.parts import part_of
+from embersill.tiers.reasons import lacking
 from embersill.tiers.terms import DRIFT, Terms
 
 OUTCOMES = {outcome.value: outcome for outcome in Outcome}
@@ -353,13 +354,20 @@
             out.append(Cancelled(job.ask, action.attempt))
         else:
             if isinstance(action, Refuse):
-                out.append(Refused(job.ask, action.retry_after))
+                out.append(Refused(job.ask, action.retry_after, self.why(job)))
                 self.counts["refused"] += 1
             else:
                 out.append(Failed(job.ask))
                 self.counts["failed"] += 1
             self.forget(action.request)
 
+    def why(self, job: Job) -> str:
+        """Which limit refused a request, and whether its customer's whole share was here."""
+        part = job.part
+        all_lend = len(part.lenders) >= len(self.forwarders)
+        state = "whole" if part.whole else "unproven" if all_lend else "in part"
+        return f"{lacking(self.gateway.throttles.get(job.request.customer), job.request.units)}, {state}"
+
     def timer_due(self, key: str, due: float, now: float) -> None:
         """One of `timers` is due. `now` is no earlier than that."""
         self.advance(now)
--- a/embersill/tiers/roles.py
+++ b/embersill/tiers/roles.py
@@ -54,6 +54,10 @@
             core, clock, secret_of(tiers), told.name, tiers.planners,
             most_frame=tiers.most_frame, most_unsent=tiers.most_unsent)
         self.status_every = tiers.status_every
+        if tiers.tell_refusals:
+            core.on_refused = lambda request, why: print(json.dumps({
+                "refusal": request.customer, "units": request.units, "at": round(clock(), 4), "why": why}),
+                flush=True)
         super().__init__(told, clock, self.links)
 
     async def start(self) -> None:
