--- a/benchmarks/planner_load.py
+++ b/benchmarks/planner_load.py
@@ -13,7 +13,7 @@
 
 import uvloop
 
-from embersill.tiers.links import ForwarderLine, ForwarderLink
+from embersill.tiers.links import ForwarderLine
 from embersill.tiers.messages import AnyMessage, Ask, Batch, Beat, Echo, Ended, Grant, Lend
 from embersill.tiers.terms import Terms
 from embersill.tiers.wire import Secret, digest
@@ -32,18 +32,28 @@
         self.loop = asyncio.get_running_loop()
         self.clock = time.monotonic
         self.asks = self.decided = 0
-        self.line = ForwarderLine(self, planner, ("127.0.0.1", port))  # type: ignore[arg-type]
-        self.link: ForwarderLink | None = None
-        # the line tells of its link by these two
-        self.line.up = self.up  # type: ignore[method-assign]
-        self.line.down = self.down  # type: ignore[method-assign]
+        # stands in for a forwarder's links and its core: the line tells both of its session
+        self.core, self.life, self.planners = self, name, {planner: ("127.0.0.1", port)}
+        self.terms = Terms()
+        self.line = ForwarderLine(self, planner)  # type: ignore[arg-type]
+        self.loop.call_later(0.05, self.tick)
 
-    def up(self, link: ForwarderLink, incarnation: str) -> None:
-        self.link = link
-        link.say([Lend(list(range(self.parts)), 60.0, 0.0), *(self.ask() for _ in range(self.most_open))])
+    def helpers_to(self, planner: str) -> list[str]:
+        return []
 
-    def down(self, link: ForwarderLink) -> None:
-        self.link = None
+    def tick(self) -> None:
+        self.line.tick()
+        self.loop.call_later(0.05, self.tick)
+
+    def link_up(self, planner: str, incarnation: str, now: float) -> None:
+        self.line.trunk.say([
+            Lend(list(range(self.parts)), 60.0, 0.0), *(self.ask() for _ in range(self.most_open))])
+
+    def link_lost(self, planner: str, now: float) -> None: ...
+
+    def link_down(self, planner: str, now: float) -> None: ...
+
+    def perform(self, actions: None) -> None: ...
 
     def ask(self) -> Ask:
         self.asks += 1
@@ -61,8 +71,8 @@
                 continue
             self.decided += 1
             said.append(self.ask())
-        if said and self.link is not None:
-            self.link.say(said)
+        if said:
+            self.line.trunk.say(said)
 
 
 async def main() -> None:
--- a/embersill/configuration/operator.py
+++ b/embersill/configuration/operator.py
@@ -38,6 +38,7 @@
     most_customers: int = 100_000
     most_open: int = 50_000
     status_every: float = 0.0  # seconds between lines on the state, on standard output; nought: none
+    helpers: int = 2  # further planners at most over which a forwarder reaches each one
     tell_refusals: bool = False  # a forwarder writes a line on each refusal, for whoever looks for causes
     terms: Terms = Terms()
 
@@ -69,6 +70,7 @@
     most_customers: int
     most_open: int
     status_every: float
+    helpers: int
     tell_refusals: bool
     terms: Terms
 
@@ -153,7 +155,7 @@
     bounds = {"parts": (table.parts, 1, 4096), "most_frame_bytes": (table.most_frame_bytes, 1 << 18, 1 << 26),
               "most_unsent_bytes": (table.most_unsent_bytes, 1 << 18, 1 << 30),
               "most_customers": (table.most_customers, 1, 10_000_000),
-              "most_open": (table.most_open, 1, 10_000_000)}
+              "most_open": (table.most_open, 1, 10_000_000), "helpers": (table.helpers, 0, 8)}
     for key, (value, least, most) in bounds.items():
         if not least <= value <= most:
             raise ValueError(f"tiers.{key}: {value} is not from {least} to {most}")
@@ -172,4 +174,4 @@
     return Tiers(
         planners, tuple(table.forwarders), secret, table.parts, table.most_frame_bytes,
         table.most_unsent_bytes, table.most_customers, table.most_open, table.status_every,
-        table.tell_refusals, table.terms)
+        table.helpers, table.tell_refusals, table.terms)
--- a/embersill/lab/fuzzing/corpus.py
+++ b/embersill/lab/fuzzing/corpus.py
@@ -99,7 +99,7 @@
     challenge = planner.challenge()
     proof = forwarder.read(challenge[4:])
     assert proof is not None
-    return [challenge, proof, challenge + planner.check(proof[4:], frozenset({"f0"}))[1]]
+    return [challenge, proof, challenge + planner.welcome(planner.check(proof[4:], frozenset({"f0"})))]
 
 
 def questions() -> list[bytes]:
--- a/embersill/rig/deployment.py
+++ b/embersill/rig/deployment.py
@@ -70,6 +70,7 @@
         self.ports: dict[str, int] = {}  # of planners, for forwarders
         self.council_ports: dict[str, int] = {}  # of planners, for each other
         self.ways: dict[str, Way] = {}
+        self.link_ways: dict[str, Way] = {}  # between planners: over which they carry forwarders' connections
         self.views: list[DiscoveryView] = []
         self.traffic: Traffic
         self.folder = tempfile.TemporaryDirectory(prefix="embersill-lab-")
@@ -115,6 +116,16 @@
             begin, _, end = name.partition(">")
             way = self.ways[name] = Way(name, self.target_of(begin, end), self.shape.seed)
             await way.start()
+            if {self.names.roles[begin], self.names.roles[end]} == {"planner"}:
+                link = self.link_ways[name] = Way(f"{name} link", self.link_of(end), self.shape.seed)
+                await link.start()
+
+    def link_of(self, planner: str) -> Callable[[], tuple[str, int]]:
+        return lambda: (HOST, self.ports[planner])
+
+    def ways_of(self, name: str) -> list[Way]:
+        """What a fault on a way lies on: all that processes dial over it."""
+        return [ways[name] for ways in (self.ways, self.link_ways) if name in ways]
 
     def target_of(self, begin: str, end: str) -> Callable[[], tuple[str, int]]:
         def target() -> tuple[str, int]:
@@ -150,7 +161,8 @@
         return self.ports
 
     def write_operator(self, name: str, role: str, forwarders: list[str]) -> None:
-        planners = {p: self.dialled(name, p, f"{HOST}:{port}") if role == "forwarder" else f"{HOST}:{port}"
+        ways = self.ways if role == "forwarder" else self.link_ways
+        planners = {p: ways[f"{name}>{p}"].address if f"{name}>{p}" in ways else f"{HOST}:{port}"
                     for p, port in self.ports.items()}
         lines = [f'role = "{role}"', "[tiers]", f"forwarders = {json.dumps(forwarders)}",
                  'secret_file = "secret"', f"status_every = {self.shape.status_every}",
@@ -326,7 +338,7 @@
             member.finish()
         for part in (self.discovery, self.counter, self.billing, *self.backends, *self.views):
             part.close()
-        for way in self.ways.values():
+        for way in (*self.ways.values(), *self.link_ways.values()):
             way.close()
         self.folder.cleanup()
 
--- a/embersill/rig/playing.py
+++ b/embersill/rig/playing.py
@@ -107,7 +107,7 @@
             self.on.remove(fault)
 
     async def on_ways(self, fault: FaultTable) -> None:
-        ways = [self.deployment.ways[name] for name in fault.ways]
+        ways = [way for name in fault.ways for way in self.deployment.ways_of(name)]
         laid = [(way, await way.put(fault.trouble())) for way in ways]
         try:
             await asyncio.sleep(fault.seconds)
--- a/embersill/tiers/forwarder.py
+++ b/embersill/tiers/forwarder.py
@@ -304,6 +304,15 @@
         self.review()
         return self.actions
 
+    def link_lost(self, planner: str, now: float) -> list[Action]:
+        """No path leads to a planner just now: as good as silence, until something is heard again."""
+        self.begin(now)
+        link = self.links[planner]
+        if link.up and not link.silent:
+            link.silent = True
+            self.review()
+        return self.actions
+
     def link_down(self, planner: str, now: float) -> list[Action]:
         """The link is broken: what was not heard over it will not be heard any more."""
         self.begin(now)
--- a/embersill/tiers/frames.py
+++ b/embersill/tiers/frames.py
@@ -12,7 +12,7 @@
 from typing import Generic, TypeVar, cast
 
 from embersill.tiers.messages import BadFrame
-from embersill.tiers.wire import MOST_HANDSHAKE, FrameReader, PlannerSide, Stranger, turned
+from embersill.tiers.wire import MOST_HANDSHAKE, FrameReader, PlannerSide, Proof, Stranger, turned
 
 HANDSHAKE_WITHIN = 2.0  # seconds
 MOST_STRANGERS = 64  # connections at a listener that have not proved themselves yet
@@ -115,12 +115,16 @@
 
     def welcome(self, frame: bytes, known: frozenset[str]) -> str:
         """Who has proved itself, by name; Stranger for one that may not link."""
-        name, welcome = self.side.check(frame, known)
+        proof = self.side.check(frame, known)
+        self.accept(proof)
+        return proof.name
+
+    def accept(self, proof: Proof, token: int = 0) -> None:
+        """Lets one in that has proved itself."""
         self.prove()
         self.strangers.discard(self)
         assert self.transport is not None
-        self.transport.write(welcome)
-        return name
+        self.transport.write(self.side.welcome(proof, token))
 
     def turn_away(self, reason: str) -> None:
         log.warning("a link is turned away: %s", reason)
--- a/embersill/tiers/links.py
+++ b/embersill/tiers/links.py
@@ -1,7 +1,9 @@
-"""The sockets between forwarders and planners: one kept connection for each pair, batches both ways.
+"""The sockets between forwarders and planners: one session for each pair, over one connection or several.
 
-What has to be said is gathered until the loop's next round and goes out as one frame. A link that breaks, or
-brings what it should not, is closed whole; the forwarder dials again.
+What has to be said is gathered until the loop's next round and goes out as one frame. A session goes on while
+any of its connections stands, the direct one or one that another planner carries (`multipath.py`), and for
+`silent_after` without any. A connection that brings what it should not ends its session; the forwarder dials
+again.
 """
 
 from __future__ import annotations
@@ -10,87 +12,177 @@
 import logging
 import os
 from collections.abc import Callable, Iterable
+from functools import partial
 
 from embersill.interface import Action
 from embersill.net.driver import Driver
+from embersill.tiers.carrying import Carried, Carrier
 from embersill.tiers.forwarder import Forwarder
 from embersill.tiers.frames import Dialler, FrameProtocol, TakenProtocol
-from embersill.tiers.messages import AnyMessage, Batch
+from embersill.tiers.messages import AnyMessage, BadFrame, Batch
+from embersill.tiers.multipath import DIRECT, Multipath
+from embersill.tiers.parts import weight
 from embersill.tiers.planner import Planner, Session
-from embersill.tiers.wire import ForwarderSide, Numbers, PlannerSide, Secret, pack
+from embersill.tiers.wire import ForwarderSide, PlannerSide, Proof, Secret, Stranger
 
 log = logging.getLogger("embersill")
 
 
-class LinkProtocol(FrameProtocol):
-    """A link that carries batches, numbered each way."""
+class Trunk:
+    """One end of a session on sockets: its connections by path, and what of it both ends have alike."""
 
-    def __init__(self, most_frame: int, most_unsent: int) -> None:
-        super().__init__(most_frame, most_unsent)
-        self.numbers = Numbers()
+    def __init__(self, clock: Callable[[], float], multipath: Multipath) -> None:
+        self.clock, self.multipath = clock, multipath
+        self.links: dict[str, FrameProtocol] = {}
+        self.pathless_since = clock()
 
-    def frame_came(self, frame: bytes) -> None:
-        self.batch_came(self.numbers.read(frame))
+    def join(self, path: str, link: FrameProtocol) -> None:
+        older = self.links.pop(path, None)
+        if older is not None:
+            older.close()
+            self.multipath.leave(path, self.clock())
+        self.links[path] = link
+        self.multipath.join(path, self.clock())
+        self.write()
+
+    def leave(self, path: str, link: FrameProtocol) -> bool:
+        """False for a connection that is no path any more."""
+        if self.links.get(path) is not link:
+            return False
+        del self.links[path]
+        self.multipath.leave(path, self.clock())
+        if not self.links:
+            self.pathless_since = self.clock()
+        self.write()
+        return True
 
     def say(self, messages: list[AnyMessage], basis: int = 0, acked: int = 0) -> None:
-        """Writes messages in as few batches as the bound allows."""
-        if self.transport is None or self.transport.is_closing():
-            return
-        text = pack(Batch(self.numbers.sent + 1, basis, acked, messages))
-        if len(text) > self.most_frame and len(messages) > 1:
-            half = len(messages) // 2
-            self.say(messages[:half], basis, acked)
-            return self.say(messages[half:], basis, acked)
-        self.numbers.sent += 1
-        return self.write(text)
+        self.multipath.say(messages, basis, acked, self.clock())
+        self.write()
+
+    def came(self, path: str, frame: bytes) -> list[Batch]:
+        batches = self.multipath.came(path, frame, self.clock())
+        self.write()
+        return batches
+
+    def write(self) -> None:
+        out, self.multipath.out = self.multipath.out, []
+        for path, frame in out:
+            link = self.links.get(path)
+            if link is not None:
+                link.write(frame)
+
+    def over(self, silent_after: float) -> bool:
+        """Looks after the paths; True once the session can't go on."""
+        self.multipath.tick(self.clock())
+        self.write()
+        if self.multipath.overfull:
+            log.warning("a session ends: the other end does not say what it has")
+            return True
+        return not self.links and self.clock() - self.pathless_since > silent_after
+
+    def close(self) -> None:
+        links, self.links = self.links, {}
+        for link in links.values():
+            link.close()
 
-    def batch_came(self, batch: Batch) -> None:
-        raise NotImplementedError
 
+class PlannerTrunk(Trunk):
+    def __init__(self, server: PlannerServer, proof: Proof, token: int) -> None:
+        super().__init__(
+            server.clock, Multipath(server.core.terms, server.most_frame, server.most_unsent))
+        self.name, self.life, self.number, self.token = proof.name, proof.life, proof.session, token
+        self.session: Session = server.core.link_up(proof.name, server.clock())
+
+
+class PlannerLink(TakenProtocol):
+    """A connection that a forwarder has dialled: one of its session's, or one to be carried on."""
 
-class PlannerLink(TakenProtocol, LinkProtocol):
     def __init__(self, server: PlannerServer) -> None:
         side = PlannerSide(server.secret, server.name, server.incarnation, os.urandom(32))
         super().__init__(server.strangers, side, server.most_frame, server.most_unsent)
         self.server = server
-        self.session: Session | None = None
+        self.trunk: PlannerTrunk | None = None
+        self.path = DIRECT
+        self.carried: Carried | None = None
+        self.dialling: asyncio.Task[None] | None = None
 
     def handshake_came(self, frame: bytes) -> None:
-        core, server = self.server.core, self.server
-        name = self.welcome(frame, core.forwarders)
-        older = server.links.pop(name, None)
-        if older is not None:
-            older.close()
-        server.links[name] = self
-        self.session = core.link_up(name, server.clock())
-        server.due()
-
-    def batch_came(self, batch: Batch) -> None:
-        assert self.session is not None
-        self.server.core.received(self.session, batch, self.server.clock())
+        if self.dialling is not None:
+            raise BadFrame("a frame before the welcome")
+        proof = self.side.check(frame, self.server.core.forwarders)
+        if proof.to:
+            if proof.to not in self.server.carrier.others:
+                raise Stranger(f"no planner {proof.to!r} to be carried to")
+            self.dialling = self.server.loop.create_task(self.carry(proof))
+            return
+        self.path = proof.via
+        self.trunk = self.server.trunk_of(proof)
+        self.accept(proof, self.trunk.token)
+        self.trunk.join(self.path, self)
         self.server.due()
 
+    async def carry(self, proof: Proof) -> None:
+        assert self.transport is not None
+        made = await self.server.carrier.begin(proof.name, proof.to, self.transport)
+        if made is None:
+            return self.close()
+        self.accept(proof)
+        self.carried = made
+        made.start()
+        return None
+
+    def data_received(self, data: bytes) -> None:
+        if self.carried is not None:
+            return self.carried.forth(data)
+        return super().data_received(data)
+
+    def pause_writing(self) -> None:
+        if self.carried is not None:
+            self.carried.back_is_full(True)
+
+    def resume_writing(self) -> None:
+        if self.carried is not None:
+            self.carried.back_is_full(False)
+
+    def frame_came(self, frame: bytes) -> None:
+        trunk, server = self.trunk, self.server
+        assert trunk is not None
+        if server.trunks.get(trunk.name) is not trunk:
+            return
+        try:
+            for batch in trunk.came(self.path, frame):
+                server.core.received(trunk.session, batch, server.clock())
+        except BadFrame:
+            server.end(trunk)
+            raise
+        server.due()
+
     def lost(self) -> None:
         super().lost()
-        if self.session is not None:
-            if self.server.links.get(self.session.name) is self:
-                del self.server.links[self.session.name]
-            self.server.core.link_down(self.session, self.server.clock())
+        if self.dialling is not None:
+            self.dialling.cancel()
+        if self.carried is not None:
+            self.carried.close()
+        if self.trunk is not None and self.trunk.leave(self.path, self):
             self.server.due()
 
 
 class PlannerServer:
-    """A planner's side of all links, and its timers."""
+    """A planner's side of all sessions, and its timers."""
 
     def __init__(
         self, core: Planner, clock: Callable[[], float], secret: Secret, name: str, *, most_frame: int,
-        most_unsent: int,
+        most_unsent: int, others: dict[str, tuple[str, int]] | None = None,
     ) -> None:
+        """`others`: the planners to which forwarders are carried."""
         self.core, self.clock, self.secret, self.name = core, clock, secret, name
         self.most_frame, self.most_unsent = most_frame, most_unsent
         self.incarnation = os.urandom(8).hex()
-        self.links: dict[str, PlannerLink] = {}
+        self.trunks: dict[str, PlannerTrunk] = {}  # by forwarder
+        self.last_token = 0
         self.strangers: set[TakenProtocol] = set()
+        self.carrier = Carrier({p: place for p, place in (others or {}).items() if p != name})
         self.loop = asyncio.get_running_loop()
         self.server: asyncio.Server | None = None
         self.flushing = False
@@ -106,13 +198,33 @@
         assert self.server is not None
         return int(self.server.sockets[0].getsockname()[1])
 
+    def trunk_of(self, proof: Proof) -> PlannerTrunk:
+        """The session that a connection belongs to; a new one takes the place of an older one."""
+        trunk = self.trunks.get(proof.name)
+        if trunk is not None and trunk.life == proof.life:
+            if trunk.number == proof.session:
+                return trunk
+            if trunk.number > proof.session:
+                raise Stranger("an older session")
+        if trunk is not None:
+            self.end(trunk)
+        self.last_token += 1
+        trunk = self.trunks[proof.name] = PlannerTrunk(self, proof, self.last_token)
+        return trunk
+
+    def end(self, trunk: PlannerTrunk) -> None:
+        if self.trunks.get(trunk.name) is trunk:
+            del self.trunks[trunk.name]
+            self.core.link_down(trunk.session, self.clock())
+            self.due()
+        trunk.close()
+
     def tick(self) -> None:
         self.core.tick(self.clock())
         dead, self.core.dead = self.core.dead, []
-        for session in dead:
-            link = self.links.get(session.name)
-            if link is not None and link.session is session:
-                link.close()
+        for trunk in list(self.trunks.values()):
+            if trunk.session in dead or trunk.over(self.core.terms.silent_after):
+                self.end(trunk)
         self.due()
         self.ticker = self.loop.call_later(self.core.terms.beat_every, self.tick)
 
@@ -130,99 +242,161 @@
             self.loop.call_later(delay, self.timer_due, key, now + delay)
         if self.before_said is not None:
             self.before_said()
-        for link in list(self.links.values()):
-            session = link.session
-            assert session is not None
+        for trunk in list(self.trunks.values()):
+            session = trunk.session
             if session.outbox or session.acked > session.acked_told:
-                link.say(*self.core.said(session))
+                trunk.say(*self.core.said(session))
 
     def timer_due(self, key: str, due: float) -> None:
         self.core.timer_due(key, due, max(self.clock(), due))
         self.due()
 
+    def status(self) -> dict[str, object]:
+        """What an operator watches of the links."""
+        return {"carried": len(self.carrier.carried),
+                "resent": sum(trunk.multipath.resent for trunk in self.trunks.values())}
+
     def close(self) -> None:
         if self.ticker is not None:
             self.ticker.cancel()
         if self.server is not None:
             self.server.close()
-        for link in (*self.links.values(), *self.strangers):
-            link.close()
+        self.carrier.close()
+        for trunk in self.trunks.values():
+            trunk.close()
+        for stranger in list(self.strangers):
+            stranger.close()
+
 
+class ForwarderLink(FrameProtocol):
+    """A connection to a planner, direct or carried by another, to which it proves itself first."""
 
-class ForwarderLink(LinkProtocol):
-    def __init__(self, line: ForwarderLine) -> None:
+    def __init__(self, line: ForwarderLine, via: str) -> None:
         super().__init__(line.links.most_frame, line.links.most_unsent)
-        self.line = line
-        self.side = ForwarderSide(line.links.secret, line.links.name, line.planner, os.urandom(32))
+        self.line, self.via, self.number = line, via, line.number
+        self.carrying = bool(via)  # its end is the one who carries, as yet
+        self.side = self.side_to(line.planner if not via else via, to=line.planner if via else "")
+
+    def side_to(self, planner: str, to: str = "") -> ForwarderSide:
+        links = self.line.links
+        return ForwarderSide(
+            links.secret, links.name, planner, os.urandom(32), life=links.life, session=self.number,
+            via="" if to else self.via, to=to)
 
     def handshake_came(self, frame: bytes) -> None:
         answer = self.side.read(frame)
         if answer is not None:
             assert self.transport is not None
             return self.transport.write(answer)
+        if self.carrying:
+            self.carrying, self.side = False, self.side_to(self.line.planner)
+            return None
         self.prove()
         assert self.side.challenge is not None
-        return self.line.up(self, self.side.challenge.incarnation)
+        return self.line.join(self, self.side.challenge.incarnation, self.side.token)
 
-    def batch_came(self, batch: Batch) -> None:
-        self.line.links.heard(self.line.planner, batch)
+    def frame_came(self, frame: bytes) -> None:
+        self.line.came(self, frame)
 
     def turn_away(self, reason: str) -> None:
         if reason != self.line.last_reason:
-            log.warning("planner %s: %s", self.line.planner, reason)
+            log.warning("planner %s: %s", self.via or self.line.planner, reason)
         self.line.last_reason = reason
         self.close()
 
     def lost(self) -> None:
         if self.proved:
-            self.line.down(self)
+            self.line.leave(self)
 
 
 class ForwarderLine:
-    """The connection to one planner: dialled again whenever it ends."""
+    """The session with one planner, and the connections that it goes over: dialled again when they end."""
 
-    def __init__(self, links: ForwarderLinks, planner: str, address: tuple[str, int]) -> None:
+    def __init__(self, links: ForwarderLinks, planner: str) -> None:
         self.links, self.planner = links, planner
-        self.link: ForwarderLink | None = None
         self.last_reason = ""
-        self.dialler = Dialler(lambda: ForwarderLink(self), address)
+        self.number = 1  # of the session
+        self.token = 0  # the planner's name of it, once there is one
+        self.trunk = self.new_trunk()
+        self.diallers = [Dialler(partial(ForwarderLink, self, via), links.planners[via or planner])
+                         for via in (DIRECT, *links.helpers_to(planner))]
+
+    def new_trunk(self) -> Trunk:
+        links = self.links
+        return Trunk(links.clock, Multipath(links.core.terms, links.most_frame, links.most_unsent))
+
+    def join(self, link: ForwarderLink, incarnation: str, token: int) -> None:
+        if link.number != self.number:  # of a session that ended meanwhile
+            return link.close()
+        if self.token and token != self.token:  # the planner has given the session up
+            self.end()
+            return link.close()
+        self.last_reason = ""
+        begins = not self.token
+        self.token = token
+        if begins:
+            self.links.perform(self.links.core.link_up(self.planner, incarnation, self.links.clock()))
+        return self.trunk.join(link.via, link)
+
+    def came(self, link: ForwarderLink, frame: bytes) -> None:
+        if link.number != self.number or not self.token:
+            return
+        try:
+            batches = self.trunk.came(link.via, frame)
+        except BadFrame:
+            self.end()
+            raise
+        for batch in batches:
+            self.links.heard(self.planner, batch)
+
+    def leave(self, link: ForwarderLink) -> None:
+        if link.number == self.number and self.trunk.leave(link.via, link) and not self.trunk.links:
+            self.links.perform(self.links.core.link_lost(self.planner, self.links.clock()))
 
-    def up(self, link: ForwarderLink, incarnation: str) -> None:
-        self.link, self.last_reason = link, ""
-        self.links.perform(self.links.core.link_up(self.planner, incarnation, self.links.clock()))
+    def tick(self) -> None:
+        if self.token and self.trunk.over(self.links.core.terms.silent_after):
+            self.end()
 
-    def down(self, link: ForwarderLink) -> None:
-        if self.link is link:
-            self.link = None
-            self.links.perform(self.links.core.link_down(self.planner, self.links.clock()))
+    def end(self) -> None:
+        """The session is over; the next connection begins another."""
+        ended, self.trunk = self.trunk, self.new_trunk()
+        self.number, self.token = self.number + 1, 0
+        ended.close()
+        self.links.perform(self.links.core.link_down(self.planner, self.links.clock()))
 
     def close(self) -> None:
-        self.dialler.task.cancel()
-        if self.link is not None:
-            self.link.close()
+        for dialler in self.diallers:
+            dialler.task.cancel()
 
 
 class ForwarderLinks:
-    """A forwarder's side of all links. Stands in for the decision module towards the driver."""
+    """A forwarder's side of all sessions. Stands in for the decision module towards the driver."""
 
     def __init__(
         self, core: Forwarder, clock: Callable[[], float], secret: Secret, name: str,
-        planners: dict[str, tuple[str, int]], *, most_frame: int, most_unsent: int,
+        planners: dict[str, tuple[str, int]], *, most_frame: int, most_unsent: int, helpers: int = 0,
     ) -> None:
+        """`helpers`: how many other planners, at most, carry a connection to each."""
         self.core, self.clock, self.secret, self.name = core, clock, secret, name
         self.settings = core.settings
         self.planners = planners
-        self.most_frame, self.most_unsent = most_frame, most_unsent
+        self.life = os.urandom(8).hex()
+        self.most_frame, self.most_unsent, self.helpers = most_frame, most_unsent, helpers
         self.loop = asyncio.get_running_loop()
         self.driver: Driver | None = None
         self.lines: dict[str, ForwarderLine] = {}
         self.flushing = False
         self.ticker: asyncio.TimerHandle | None = None
 
+    def helpers_to(self, planner: str) -> list[str]:
+        """Who carries to a planner: others for each forwarder, so that no planner carries for all."""
+        others = [name for name in self.planners if name != planner]
+        return sorted(others, key=lambda name: weight(0, f"{self.name} {planner} {name}"))[:self.helpers]
+
     def start(self, driver: Driver) -> None:
         self.driver = driver
-        for planner, address in self.planners.items():
-            self.lines[planner] = ForwarderLine(self, planner, address)
+        for planner in self.planners:
+            self.lines[planner] = ForwarderLine(self, planner)
         self.tick()
 
     def handle(self, event: object, now: float) -> list[Action]:
@@ -246,10 +420,11 @@
     def tick(self) -> None:
         self.perform(self.core.tick(self.clock()))
         dead, self.core.dead = self.core.dead, []
-        for planner in dead:
-            link = self.lines[planner].link
-            if link is not None:
-                link.close()
+        for planner, line in self.lines.items():
+            if planner in dead:
+                line.end()
+            else:
+                line.tick()
         self.ticker = self.loop.call_later(self.core.terms.beat_every / 4, self.tick)
 
     def due(self) -> None:
@@ -261,9 +436,16 @@
         self.flushing = False
         for planner, line in self.lines.items():
             messages = self.core.outbox[planner]
-            if messages and line.link is not None:
+            if messages and line.token:
                 self.core.outbox[planner] = []
-                line.link.say(messages)
+                line.trunk.say(messages)
+
+    def status(self) -> dict[str, object]:
+        """What an operator watches; docs/operate/tiers.md explains each figure."""
+        paths = {planner: None if (used := line.trunk.multipath.used) is None else used.name or "direct"
+                 for planner, line in self.lines.items()}
+        return {**self.core.status(), "paths": paths,
+                "resent": sum(line.trunk.multipath.resent for line in self.lines.values())}
 
     def close(self) -> None:
         if self.ticker is not None:
@@ -271,6 +453,7 @@
         self.core.stop(self.clock())
         self.flush()
         for line in self.lines.values():
-            line.dialler.task.cancel()
-            if line.link is not None and line.link.transport is not None:
-                line.link.transport.close()  # after the last words
+            line.close()
+            for link in line.trunk.links.values():
+                if link.transport is not None:
+                    link.transport.close()  # after the last words
--- a/embersill/tiers/messages.py
+++ b/embersill/tiers/messages.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-VERSION = 1  # of all that stands here; both ends must speak the same
+VERSION = 2  # of all that stands here; both ends must speak the same
 MOST_TEXT = 256  # characters of a name
 MOST = 1e9  # of any figure: no second, unit or number on a link comes near it
 
@@ -165,23 +165,37 @@
     units: Units
 
 
+class Probe(Message, frozen=True, tag=19):
+    """Either way, on one path and out of order: whether anything comes over it."""
+
+    number: Number
+
+
+class Probed(Message, frozen=True, tag=20):
+    """The answer to a probe, on the path on which it came."""
+
+    number: Number
+
+
 AnyMessage = (
     Beat | Echo | Spent | Lend | Recall | Returned | Bequeath | Ask | Open | Ended | Left | Grant | Refused
-    | Failed | Cancelled | Withdrawn | Leaving | Taken
+    | Failed | Cancelled | Withdrawn | Leaving | Taken | Probe | Probed
 )
 
 
 class Batch(msgspec.Struct, array_like=True, frozen=True, gc=False):
-    """One frame: its number on the link, from 1, and what the sender has of the other's.
+    """One frame: its number in the session, from 1, and what the sender has of the other's.
 
     `basis`: from a planner, the last beat that it has this forwarder's echo of. `acked`: from a planner,
-    the last ask that it has taken. Both nought from a forwarder.
+    the last ask that it has taken. Both nought from a forwarder. `seen`: the last batch of the other's up to
+    which the sender has all. Number 0 stands outside the order: probes of a path.
     """
 
     number: Number
     basis: Number
     acked: Number
     messages: list[AnyMessage]
+    seen: Number = 0
 
 
 encoder = msgspec.msgpack.Encoder()
--- a/embersill/tiers/roles.py
+++ b/embersill/tiers/roles.py
@@ -52,7 +52,7 @@
             parts=tiers.parts, terms=tiers.terms, most_customers=tiers.most_customers)
         self.links = ForwarderLinks(
             core, clock, secret_of(tiers), told.name, tiers.planners,
-            most_frame=tiers.most_frame, most_unsent=tiers.most_unsent)
+            most_frame=tiers.most_frame, most_unsent=tiers.most_unsent, helpers=tiers.helpers)
         self.status_every = tiers.status_every
         if tiers.tell_refusals:
             core.on_refused = lambda request, why: print(json.dumps({
@@ -68,7 +68,7 @@
         while self.loop.time() < end and not any(link.up for link in self.links.core.links.values()):
             await asyncio.sleep(LOOK_EVERY)
         self.settled = True
-        report_every(self.status_every, "forwarder", self.links.name, self.links.core.status)
+        report_every(self.status_every, "forwarder", self.links.name, self.links.status)
 
     async def stop(self, still_coming: float | None = None, all_answered: float | None = None) -> None:
         given = [x for x in (still_coming, all_answered) if x is not None]
@@ -100,7 +100,7 @@
             most_customers=tiers.most_customers, most_open=tiers.most_open)
         self.server = PlannerServer(
             self.core, self.clock, secret_of(tiers), told.name, most_frame=tiers.most_frame,
-            most_unsent=tiers.most_unsent)
+            most_unsent=tiers.most_unsent, others=tiers.planners)
         self.address = tiers.planners[told.name]
         self.status_every = tiers.status_every
         self.settings = told.settings
@@ -147,7 +147,8 @@
         report_every(self.status_every, "planner", self.server.name, self.status)
 
     def status(self) -> dict[str, object]:
-        return {**self.core.status(), **(self.chair.status() if self.chair is not None else {})}
+        seated = self.chair.status() if self.chair is not None else {}
+        return {**self.core.status(), **self.server.status(), **seated}
 
     async def stop(self) -> None:
         """Hands its parts over first: what it has decided is decided on elsewhere, not answered anew."""
--- a/embersill/tiers/terms.py
+++ b/embersill/tiers/terms.py
@@ -38,6 +38,8 @@
     gather: float = 0.1  # for which a planner that takes a part over waits for all forwarders' reports
     settle: float = 1.0  # from a planner's start until it takes parts back though not all are linked
     bequest: float = 5.0  # for which a planner may go on with the share of a forwarder that stopped in order
+    resend_after: float = 0.0  # without a word of it, a batch goes out on another path; nought: two beats
+    probe_every: float = 1.0  # on paths that are not in use
     recall: float = 0.1  # for which a forwarder waits for its share to be returned
 
     @property
@@ -45,6 +47,11 @@
         """From a beat's sending, for how long the planner may spend what was lent on it."""
         return (self.lease - self.fresh) * (1.0 - DRIFT)
 
+    @property
+    def resent_after(self) -> float:
+        """A planner says what it has seen once a beat at the least: a second beat without it is a loss."""
+        return self.resend_after or 2 * self.beat_every
+
 
 def check_terms(terms: Terms) -> None:
     """ValueError names what does not fit together."""
@@ -56,6 +63,10 @@
         raise ValueError("beat_every must be above nought and at most a third of fresh and of lease - fresh")
     if terms.silent_after < 2 * terms.beat_every:
         raise ValueError("silent_after must be at least two beats")
+    if terms.resend_after and not 1.5 * terms.beat_every <= terms.resend_after < terms.silent_after:
+        raise ValueError("resend_after must be nought, or from one and a half beats to below silent_after")
+    if not terms.beat_every <= terms.probe_every <= terms.dead_after:
+        raise ValueError("probe_every must be from a beat to dead_after")
     if terms.dead_after < 2 * terms.silent_after:
         raise ValueError("dead_after must be at least twice silent_after")
     if not 0 < terms.patience_part <= 0.5 or not 0 < terms.patience_most:
--- a/embersill/tiers/wire.py
+++ b/embersill/tiers/wire.py
@@ -38,16 +38,28 @@
 
 
 class Proof(msgspec.Struct, array_like=True, frozen=True, tag="proof"):
+    """Who dials, and which session of which life of it the connection belongs to, as one path more.
+
+    `to`: the planner that the one dialled is to carry the connection to; `via`: who carries it.
+    """
+
     magic: str
     version: int
     name: str
     nonce: bytes
     deployment: str
     mac: bytes
+    life: str = ""
+    session: int = 0
+    via: str = ""
+    to: str = ""
 
 
 class Welcome(msgspec.Struct, array_like=True, frozen=True, tag="welcome"):
+    """`token` names the session as the one dialled has it: another than before is a new session."""
+
     mac: bytes
+    token: int = 0
 
 
 class Turned(msgspec.Struct, array_like=True, frozen=True, tag="turned"):
@@ -65,10 +77,10 @@
     key: bytes
     deployment: str = ""
 
-    def mac(self, role: str, challenge: Challenge, name: str, nonce: bytes, deployment: str = "") -> bytes:
+    def mac(self, role: str, challenge: Challenge, proof: Proof, token: int = 0) -> bytes:
+        """Over all that both ends said, but for the proof's own mac."""
         said = msgspec.msgpack.encode([
-            MAGIC, VERSION, role, challenge.name, challenge.incarnation, challenge.nonce,
-            challenge.deployment, name, nonce, deployment])
+            role, challenge, msgspec.structs.replace(proof, mac=b""), token])
         return hmac.digest(self.key, said, "sha256")
 
 
@@ -99,6 +111,8 @@
         raise Stranger(f"version {said.version} where {VERSION} is spoken here")
     if not 0 < len(said.name) <= MOST_TEXT or len(said.nonce) != NONCE:
         raise Stranger("a handshake out of form")
+    if isinstance(said, Proof) and max(len(said.life), len(said.via), len(said.to)) > MOST_TEXT:
+        raise Stranger("a handshake out of form")
 
 
 class FrameReader:
@@ -160,28 +174,34 @@
     def challenge(self) -> bytes:
         return framed(msgspec.msgpack.encode(self.said))
 
-    def check(self, frame: bytes, known: frozenset[str]) -> tuple[str, bytes]:
-        """The forwarder's name, and the welcome for it; Stranger for one that may not link."""
+    def check(self, frame: bytes, known: frozenset[str]) -> Proof:
+        """What a forwarder that is known here says of itself; Stranger for one that may not link."""
         proof = read_handshake(frame, Proof)
         assert isinstance(proof, Proof)
         check_form(proof)
         # the proof before the name: who does not know the secret learns nothing of who is known
-        mac = self.secret.mac("forwarder", self.said, proof.name, proof.nonce, proof.deployment)
+        mac = self.secret.mac("forwarder", self.said, proof)
         if not hmac.compare_digest(mac, proof.mac):
             raise Stranger("a wrong secret")
         if proof.deployment != self.secret.deployment:
             raise Stranger("the operator files differ in forwarders, parts or terms")
         if proof.name not in known:
             raise Stranger(f"no forwarder {proof.name!r} in the operator file")
-        welcome = Welcome(self.secret.mac("planner", self.said, proof.name, proof.nonce))
-        return proof.name, framed(msgspec.msgpack.encode(welcome))
+        return proof
+
+    def welcome(self, proof: Proof, token: int = 0) -> bytes:
+        """The answer to a proof that was checked."""
+        mac = self.secret.mac("planner", self.said, proof, token)
+        return framed(msgspec.msgpack.encode(Welcome(mac, token)))
 
 
 class ForwarderSide:
     """The handshake as the forwarder has it."""
 
-    def __init__(self, secret: Secret, name: str, planner: str, nonce: bytes) -> None:
-        self.secret, self.name, self.planner, self.nonce = secret, name, planner, nonce
+    def __init__(self, secret: Secret, name: str, planner: str, nonce: bytes, *, life: str = "",
+                 session: int = 0, via: str = "", to: str = "") -> None:
+        self.secret, self.planner, self.token = secret, planner, 0
+        self.proof = Proof(MAGIC, VERSION, name, nonce, secret.deployment, b"", life, session, via, to)
         self.challenge: Challenge | None = None
 
     def read(self, frame: bytes) -> bytes | None:
@@ -193,16 +213,16 @@
             if said.name != self.planner:
                 raise Stranger(f"planner {said.name!r} where {self.planner!r} should be")
             self.challenge = said
-            mac = self.secret.mac("forwarder", said, self.name, self.nonce, self.secret.deployment)
-            proof = Proof(MAGIC, VERSION, self.name, self.nonce, self.secret.deployment, mac)
-            return framed(msgspec.msgpack.encode(proof))
+            mac = self.secret.mac("forwarder", said, self.proof)
+            return framed(msgspec.msgpack.encode(msgspec.structs.replace(self.proof, mac=mac)))
         answer = read_handshake(frame, Welcome, Turned)
         if isinstance(answer, Turned):
             raise Stranger(f"turned away: {answer.reason[:MOST_TEXT]}")
         assert isinstance(answer, Welcome)
-        mac = self.secret.mac("planner", self.challenge, self.name, self.nonce)
+        mac = self.secret.mac("planner", self.challenge, self.proof, answer.token)
         if not hmac.compare_digest(mac, answer.mac):
             raise Stranger("a wrong secret")
+        self.token = answer.token
         return None
 
 
--- a/tests/tiers/test_links.py
+++ b/tests/tiers/test_links.py
@@ -56,9 +56,10 @@
             return True
 
 
-async def linked(server: PlannerServer, key: bytes = KEY, name: str = "f0") -> Linked:
+async def linked(server: PlannerServer, key: bytes = KEY, name: str = "f0", session: int = 1, via: str = ""
+                 ) -> Linked:
     link = Linked(*await asyncio.open_connection(HOST, server.port))
-    side = ForwarderSide(Secret(key), name, "p0", b"n" * 32)
+    side = ForwarderSide(Secret(key), name, "p0", b"n" * 32, session=session, via=via)
     proof = side.read(await link.frame())
     assert proof is not None
     link.writer.write(proof)
@@ -72,7 +73,7 @@
         server = await planner()
         with pytest.raises(Exception, match="turned away"):
             await linked(server, key, name)
-        assert not server.links and not server.core.sessions
+        assert not server.trunks and not server.core.sessions
         server.close()
 
     run(test)
@@ -116,7 +117,9 @@
 @pytest.mark.parametrize("text", [
     (1 << 19).to_bytes(4, "big"),
     framed(b"\x00"),
-    pack(Batch(2, 0, 0, [])),  # the first is missing
+    pack(Batch(9999, 0, 0, [])),  # far too many are missing
+    pack(Batch(1, 0, 0, [], 99)),  # of which none was sent
+    pack(Batch(0, 0, 0, [Lend([1], 0.0, 0.0)])),  # out of order
     pack(Batch(1, 0, 0, [Lend([99], 0.0, 0.0)])),
     pack(Batch(1, 0, 0, [Ask(1, "lookup", "free", "c", 1.0, 1.0, False)])),  # of a part that is not lent
 ])
@@ -126,7 +129,9 @@
         link = await linked(server)
         link.writer.write(text)
         assert await link.closed()
-        assert not server.links and not server.core.sessions
+        async with asyncio.timeout(SOON):
+            while server.trunks or server.core.sessions:
+                await asyncio.sleep(0.01)
         again = await linked(server)
         again.writer.close()
         server.close()
@@ -137,7 +142,7 @@
 def test_a_new_link_takes_the_place_of_an_old_one() -> None:
     async def test() -> None:
         server = await planner()
-        first, second = await linked(server), await linked(server)
+        first, second = await linked(server), await linked(server, session=2)
         assert await first.closed()
         assert list(server.core.sessions) == ["f0"]
         second.writer.close()
@@ -165,7 +170,7 @@
                 await asyncio.sleep(0.005)
             links.close()
             await asyncio.sleep(0)
-            while server.links:
+            while server.trunks:
                 await asyncio.sleep(0.005)
         lenders = [part.lenders["f0"] for part in server.core.parts]
         assert all(lender.bequest_until > loop.time() + 3.0 for lender in lenders)
@@ -272,3 +277,75 @@
 
 def test_free_ports_are_different() -> None:
     assert len(set(free_ports(20))) == 20
+
+
+def test_a_second_connection_is_one_path_more_and_an_older_session_is_turned_away() -> None:
+    async def test() -> None:
+        server = await planner()
+        direct, carried = await linked(server), await linked(server, via="p1")
+        trunk = server.trunks["f0"]
+        assert set(trunk.links) == {"", "p1"}
+        direct.writer.close()
+        await asyncio.sleep(0.05)
+        assert server.trunks["f0"] is trunk and set(trunk.links) == {"p1"}
+        newer = await linked(server, session=2)
+        assert await carried.closed()
+        with pytest.raises(Exception, match="an older session"):
+            await linked(server)
+        newer.writer.close()
+        server.close()
+
+    run(test)
+
+
+def test_a_planner_carries_only_to_planners_that_it_knows() -> None:
+    async def test() -> None:
+        server = await planner()
+        link = Linked(*await asyncio.open_connection(HOST, server.port))
+        side = ForwarderSide(Secret(KEY), "f0", "p0", b"n" * 32, to="p9")
+        proof = side.read(await link.frame())
+        assert proof is not None
+        link.writer.write(proof)
+        with pytest.raises(Exception, match="no planner 'p9' to be carried to"):
+            side.read(await link.frame())
+        assert await link.closed()
+        server.close()
+
+    run(test)
+
+
+def test_what_is_carried_is_bounded_and_a_dead_end_ends_it() -> None:
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        end = await planner()
+        core = Planner(lab_settings(1), 1, loop.time(), forwarders=["f0"], planners=2, parts=4, terms=Terms())
+        helper = PlannerServer(core, loop.time, Secret(KEY), "p1", most_frame=1 << 18, most_unsent=1 << 20,
+                               others={"p0": (HOST, end.port), "p1": (HOST, 1), "p2": (HOST, 1)})
+        await helper.start((HOST, 0))
+
+        async def carried(to: str) -> Linked:
+            link = Linked(*await asyncio.open_connection(HOST, helper.port))
+            first = ForwarderSide(Secret(KEY), "f0", "p1", b"n" * 32, to=to)
+            proof = first.read(await link.frame())
+            assert proof is not None
+            link.writer.write(proof)
+            first.read(await link.frame())
+            second = ForwarderSide(Secret(KEY), "f0", to, b"m" * 32, session=1, via="p1")
+            proof = second.read(await link.frame())
+            assert proof is not None
+            link.writer.write(proof)
+            second.read(await link.frame())
+            return link
+
+        first = await carried("p0")
+        assert set(end.trunks["f0"].links) == {"p1"}
+        again = await carried("p0")  # one for each forwarder and planner
+        assert await first.closed() and len(helper.carrier.carried) == 1
+        with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
+            await carried("p2")  # nobody is there
+        assert len(helper.carrier.carried) == 1
+        end.close()
+        assert await again.closed() and not helper.carrier.carried
+        helper.close()
+
+    run(test)
--- a/tests/tiers/test_wire.py
+++ b/tests/tiers/test_wire.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import msgspec
 import pytest
 from hypothesis import given, settings
@@ -31,8 +33,30 @@
     planner, forwarder = sides()
     proof = forwarder.read(unframed(planner.challenge()))
     assert proof is not None
-    name, welcome = planner.check(unframed(proof), KNOWN)
-    assert name == "f1" and forwarder.read(unframed(welcome)) is None
+    checked = planner.check(unframed(proof), KNOWN)
+    assert checked.name == "f1" and forwarder.read(unframed(planner.welcome(checked, 7))) is None
+    assert forwarder.token == 7
+
+
+@pytest.mark.parametrize("changed", [
+    {"life": "x"}, {"session": 2}, {"via": "p3"}, {"to": "p3"}, {"name": "f2"},
+])
+def test_nothing_that_a_proof_says_can_be_changed_on_its_way(changed: dict[str, Any]) -> None:
+    planner, forwarder = sides()
+    proof = forwarder.read(unframed(planner.challenge()))
+    assert proof is not None
+    said: Proof = msgspec.msgpack.decode(unframed(proof), type=Proof)
+    with pytest.raises(Stranger, match="a wrong secret"):
+        planner.check(msgspec.msgpack.encode(msgspec.structs.replace(said, **changed)), KNOWN)
+
+
+def test_a_welcome_to_another_session_is_not_believed() -> None:
+    planner, forwarder = sides()
+    proof = forwarder.read(unframed(planner.challenge()))
+    assert proof is not None
+    welcome = msgspec.msgpack.decode(unframed(planner.welcome(planner.check(unframed(proof), KNOWN), 7)))
+    with pytest.raises(Stranger, match="a wrong secret"):
+        forwarder.read(msgspec.msgpack.encode([*welcome[:-1], 8]))
 
 
 @pytest.mark.parametrize(("key", "name", "reason"), [
@@ -50,7 +74,7 @@
     planner, forwarder = sides()
     false, _ = sides(planner_key=b"x" * 32)
     forwarder.read(unframed(planner.challenge()))
-    mac = false.secret.mac("planner", planner.said, "f1", b"m" * 32)
+    mac = false.secret.mac("planner", planner.said, forwarder.proof)
     with pytest.raises(Stranger, match="a wrong secret"):
         forwarder.read(msgspec.msgpack.encode(["welcome", mac]))
     with pytest.raises(Stranger, match="turned away: too late"):
@@ -87,10 +111,10 @@
 
 def test_another_version_is_named() -> None:
     _, forwarder = sides()
-    with pytest.raises(Stranger, match="version 99 where 1"):
+    with pytest.raises(Stranger, match="version 99 where 2"):
         forwarder.read(msgspec.msgpack.encode(Challenge(MAGIC, 99, "p1", "life", b"n" * 32, "")))
     planner, _ = sides()
-    with pytest.raises(Stranger, match="version 99 where 1"):
+    with pytest.raises(Stranger, match="version 99 where 2"):
         planner.check(msgspec.msgpack.encode(Proof(MAGIC, 99, "f1", b"m" * 32, "", b"")), KNOWN)
 
 
