All forwarders judge a planner by its own word of who is heard; late is told from silent

Change: a planner counts a forwarder only after it was heard for `settle`, so what comes and goes is damped in one place and all forwarders return at one beat; a holder is left after `silent_after` only where another planner is heard within two beats, else after twice that. The benchmark tells moves a part, processor time and what a hop adds.

--- a/benchmarks/partition.py
+++ b/benchmarks/partition.py
@@ -21,13 +21,15 @@
 from embersill.rig.deployment import Deployment
 from embersill.rig.playing import RULES, Play, shape_of
 from embersill.rig.scenarios import DrawnTable, FaultTable, Scenario, ShapeTable
+from embersill.rig.standins import Behaviour
 
 RELAYED = ("@forwarder>@planner", "@planner>@planner")
 LINKS = ["@forwarder>@planner"]
 FORWARDERS = 5
 CUSTOMERS = 60
 WARM = 5.0  # seconds before the first fault: ceilings start empty, and fill in four
-FIGURES = ("served_vs_calm", "pro_served_vs_calm", "moved", "rules")
+PARTS = 64
+FIGURES = ("served_vs_calm", "pro_served_vs_calm", "moves_per_fault", "rules")
 
 
 def turns(seconds: float, every: float, what: FaultTable, ways: list[list[str]]) -> list[FaultTable]:
@@ -90,10 +92,35 @@
         "breaches": figures["breaches"],
         "bad_ends": figures["bad_ends"],
         "p99_ms": figures["p99_ms"],
+        "median_ms": figures["median_ms"],
+        "cpu_ms_a_try": cpu_a_try(deployment, figures["tries"]),
         **table,
     }
 
 
+def cpu_a_try(deployment: Deployment, tries: float) -> float:
+    """Milliseconds of processor time of all processes for each try."""
+    return round(1000 * sum(member.spent for member in deployment.members.values()) / max(tries, 1.0), 3)
+
+
+async def hop(cut: bool, seconds: float) -> dict[str, float]:
+    """A forwarder with two planners, backends that answer at once; one planner over the other, or not."""
+    faults = [FaultTable("cut", 0.5, seconds, ways=["g0>p0"])] if cut else []
+    shape = ShapeTable(1, 2, 0, 4, 60, False, {}, RELAYED)
+    made = Scenario("hop", 1, seconds, 400.0, 0.0, shape, faults, [])
+    deployment = Deployment(shape_of(made, plans=("free",), behaviour=Behaviour(0.0, 0.0)))
+    figures = await Play(made, deployment).run()
+    return {"median_ms": figures["median_ms"], "cpu_ms_a_try": cpu_a_try(deployment, figures["tries"])}
+
+
+async def hops(seconds: float) -> dict[str, float]:
+    """What one hop more adds; about half of all requests go over it, so the whole is twice the difference."""
+    direct, carried = await hop(False, seconds), await hop(True, seconds)
+    return {"direct_median_ms": direct["median_ms"],
+            "hop_ms": round(2 * (carried["median_ms"] - direct["median_ms"]), 3),
+            "hop_cpu_ms": round(2 * (carried["cpu_ms_a_try"] - direct["cpu_ms_a_try"]), 3)}
+
+
 async def measure(options: argparse.Namespace) -> dict[str, Any]:
     gate = asyncio.Semaphore(options.beside)
     found: dict[str, Any] = {}
@@ -108,7 +135,10 @@
     await asyncio.gather(*(
         one(planners, seed, row, faults, drawn) for planners in options.planners for seed in options.seeds
         for row, faults, drawn in rows(options.seconds, planners) if not options.rows or row in options.rows))
-    return {"plays": found, "rows": against_calm(found)}
+    told: dict[str, Any] = {"plays": found, "rows": against_calm(found)}
+    if options.hops:
+        told["hops"] = await hops(options.seconds / 2)
+    return told
 
 
 def against_calm(found: dict[str, Any]) -> dict[str, Any]:
@@ -122,7 +152,8 @@
         sums = told.setdefault(row, {name: [] for name in FIGURES})
         sums["served_vs_calm"].append(play["served"] / calm["served"])
         sums["pro_served_vs_calm"].append(play["pro"] / calm["pro"])
-        sums["moved"].append(play["moved"] - calm["moved"])
+        moved = play["moved"] - calm["moved"]
+        sums["moves_per_fault"].append(moved / (FORWARDERS * PARTS * max(play["faults"], 1)))
         sums["rules"].append(sum(play["rules"].values()))
     return {row: {name: round(sum(values) / len(values), 4) for name, values in sums.items()}
             for row, sums in told.items()}
@@ -134,6 +165,7 @@
     parser.add_argument("--seeds", type=int, nargs="+", default=[1, 2, 3])
     parser.add_argument("--planners", type=int, nargs="+", default=[2, 3])
     parser.add_argument("--rows", nargs="+", default=[], help="only these")
+    parser.add_argument("--hops", action="store_true", help="what a carried request costs")
     parser.add_argument("--beside", type=int, default=1, help="plays at a time")
     print(json.dumps(uvloop.run(measure(parser.parse_args())), indent=1))
 
--- a/embersill/tiers/forwarder.py
+++ b/embersill/tiers/forwarder.py
@@ -50,7 +50,7 @@
     reach: int = -1  # how many forwarders it hears, by its word; below nought: it has not said
     short: bool = False  # it has heard fewer than another planner for long enough to count
     fit_since: float = 0.0
-    turned: float = float("inf")  # since when its word is otherwise than `short` says
+    turned: float = float("inf")  # since when it says so
     echoes: dict[int, float] = field(default_factory=dict)  # beat: when it was echoed
     last_echo: float = float("-inf")
     acked: int = 0
@@ -352,7 +352,6 @@
         link = self.links[planner]
         link.up, link.leaving, link.silent, link.gathered = True, False, False, False
         link.incarnation, link.heard, link.acked = incarnation, self.now, 0
-        link.reach = -1
         self.fit_again(link)
         link.echoes.clear()
         self.outbox[planner].clear()
@@ -416,11 +415,12 @@
         return self.actions
 
     def fit_again(self, link: Link) -> None:
-        """A planner is heard again. Where another has served meanwhile it is taken after `settle` only.
+        """A planner is heard again. Where another has served meanwhile its word is waited for.
 
         So all forwarders take it at one time, also those that never lost it. One that lost all planners at
         once goes back to the first of each part at once, as all do.
         """
+        link.reach = -1
         link.short = any(other.fit and self.now - other.fit_since >= self.terms.settle
                          for other in self.links.values() if other is not link)
         link.turned, link.fit_since = float("inf"), self.now
@@ -500,18 +500,20 @@
         Shares of those that a planner does not hear are no use to it, so its parts are better lent where more
         forwarders are heard. All forwarders hear the same of it, hence they move together. A planner is left
         once it was short for `silent_after`, in which all planners notice a forwarder that is gone from all
-        of them, and taken again after `settle`: what comes and goes does not move parts each time.
+        of them. It is taken again as soon as it says so: what it counts has been there for `settle`.
         """
         most = max((link.reach for link in self.links.values() if link.fit), default=0)
         changed = False
         for link in self.links.values():
-            short = link.fit and 0 <= link.reach < most
-            if short == link.short:
-                link.turned = float("inf")
-                continue
-            link.turned = min(link.turned, self.now)
-            if self.now - link.turned >= (self.terms.silent_after if short else self.terms.settle):
-                link.short, link.turned, changed = short, float("inf"), True
+            if not link.fit or (link.reach < 0 and not link.short):
+                continue  # it has not said yet
+            if link.reach >= most:
+                changed |= link.short
+                link.short, link.turned = False, float("inf")
+            elif not link.short:
+                link.turned = min(link.turned, self.now)
+                if self.now - link.turned >= self.terms.silent_after:
+                    link.short = changed = True
         return changed
 
     def best_for(self, part: Part) -> Link | None:
@@ -615,7 +617,7 @@
         self.begin(now)
         changed = False
         for link in self.links.values():
-            if link.up and not link.silent and self.now - link.heard > self.terms.silent_after:
+            if link.up and not link.silent and self.is_silent(link):
                 link.silent = changed = True
             if link.up and self.now - link.heard > self.terms.dead_after:
                 self.dead.append(link.name)
@@ -636,6 +638,15 @@
                 self.decide_here(task)
         return self.actions
 
+    def is_silent(self, link: Link) -> bool:
+        """Not a word for `silent_after` while another is heard, or twice as long where all are late."""
+        silent = self.now - link.heard
+        if silent <= self.terms.silent_after:
+            return False
+        late = self.now - self.terms.resent_after
+        other = any(other.fit and other.heard >= late for other in self.links.values() if other is not link)
+        return other or silent > 2 * self.terms.silent_after
+
     def settle_unheld(self) -> None:
         """Requests of parts that nobody holds any more, and that no planner could take, are decided here."""
         if all(part.holder is not None for part in self.parts):
--- a/embersill/tiers/planner.py
+++ b/embersill/tiers/planner.py
@@ -48,6 +48,7 @@
     beats: dict[int, float] = field(default_factory=dict)  # beat: when it went out
     last_beat: int = 0
     lost: bool = False  # no path leads here just now
+    well_since: float = float("-inf")  # from when on it was heard without a gap
     echoed: int = 0
     loan_until: float = float("-inf")  # until when what it lent may be spent
     acked: int = 0  # the last ask that was taken, and of which the forwarder knows
@@ -146,6 +147,8 @@
         if forwarder in self.sessions:
             self.link_down(self.sessions[forwarder], now)
         session = self.sessions[forwarder] = Session(forwarder, self.now)
+        if self.gathered:
+            session.well_since = self.now
         if self.sessions.keys() >= self.forwarders:
             self.gathered = True
         self.count_reach()
@@ -160,9 +163,13 @@
         self.count_reach()
 
     def count_reach(self) -> None:
-        """How many forwarders are heard: whether parts are well lent here, for all forwarders to judge."""
-        silent = self.now - self.terms.silent_after
-        self.reach = sum(not s.lost and s.heard >= silent for s in self.sessions.values())
+        """How many forwarders are heard, and have been for `settle`: all of them judge by that.
+
+        So a part's planner is agreed: what comes and goes is damped here, for all at one moment.
+        """
+        silent, well = self.now - self.terms.silent_after, self.now - self.terms.settle
+        self.reach = sum(not s.lost and s.heard >= silent and s.well_since <= well
+                         for s in self.sessions.values())
 
     def link_down(self, session: Session, now: float) -> None:
         """What the forwarder lent is its own again; its requests are decided elsewhere."""
@@ -184,6 +191,8 @@
         self.advance(now)
         if self.sessions.get(session.name) is not session:
             return
+        if session.lost or self.now - session.heard > self.terms.silent_after:
+            session.well_since = self.now
         session.heard, session.lost = self.now, False
         for message in batch.messages:
             if isinstance(message, Ask):
