--- a/benchmarks/planner_load.py
+++ b/benchmarks/planner_load.py
@@ -9,11 +9,13 @@
 import json
 import sys
 import time
+from functools import partial
 from pathlib import Path
 
 import uvloop
 
-from embersill.tiers.links import ForwarderLine
+from embersill.tiers.frames import Dialler
+from embersill.tiers.links import ForwarderLine, ForwarderLink
 from embersill.tiers.messages import AnyMessage, Ask, Batch, Beat, Echo, Ended, Grant, Lend
 from embersill.tiers.terms import Terms
 from embersill.tiers.wire import Secret, digest
@@ -36,11 +38,9 @@
         self.core, self.life, self.planners = self, name, {planner: ("127.0.0.1", port)}
         self.terms = Terms()
         self.line = ForwarderLine(self, planner)  # type: ignore[arg-type]
+        self.dialler = Dialler(partial(ForwarderLink, self, self.line, ""), self.planners[planner])  # type: ignore[arg-type]
         self.loop.call_later(0.05, self.tick)
 
-    def helpers_to(self, planner: str) -> list[str]:
-        return []
-
     def tick(self) -> None:
         self.line.tick()
         self.loop.call_later(0.05, self.tick)
--- a/embersill/lab/levels/generate.py
+++ b/embersill/lab/levels/generate.py
@@ -94,6 +94,10 @@
         weather = self.shape["weather"]
         self.shape["coded"] = bool(weather["lost"] or weather["doubled"] or chance.random() < 0.25)
         self.steps: list[Step] = []
+        # sessions over several paths, as TCP carries them: nothing of a stream that stays is lost
+        if random.Random(f"helpers {seed}").random() < 0.4:
+            self.shape["helpers"] = True
+            weather["lost"] = weather["doubled"] = 0.0
         self.hoard_day = random.Random(f"hoard {seed}").random() < 0.25
 
     def make(self) -> Schedule:
--- a/embersill/lab/levels/world.py
+++ b/embersill/lab/levels/world.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import replace
 from typing import Any, get_args
 
@@ -10,13 +10,14 @@
 
 from embersill.interface import Backend, Settings, Status
 from embersill.lab.levels.nodes import ForwarderNode, Member, PlannerNode, backend_of
+from embersill.lab.levels.paths import Pathed, PathedForwarder, PathedPlanner
 from embersill.rig.settings import RULE_WORDS, lab_settings
 from embersill.tiers.messages import AnyMessage
 from embersill.tiers.parts import part_of
 from embersill.tiers.planner import Planner
 from embersill.tiers.terms import DRIFT, Terms, check_terms
 from embersill.world.kernel import Kernel
-from embersill.world.network import Network, Weather
+from embersill.world.network import Network, Stream, Weather
 from embersill.world.oracles import Broken, Ceiling, ClassTerms, Rules, RuleTerms
 from embersill.world.records import Credit, Fault, Held, Said, Started
 from embersill.world.schedules import Schedule, Step
@@ -78,8 +79,10 @@
         )  # (forwarder, part): its Lend is on its way, no ask is heard
         self.down: set[str] = set()  # backends that no connection reaches
         self.forwarder_names = [f"f{n}" for n in range(shape.get("forwarders", 3))]
-        self.planners = [PlannerNode(self, f"p{n}") for n in range(shape.get("planners", 2))]
-        self.forwarders = [ForwarderNode(self, name) for name in self.forwarder_names]
+        planner: type[PlannerNode] = PathedPlanner if shape.get("helpers") else PlannerNode
+        forwarder: type[ForwarderNode] = PathedForwarder if shape.get("helpers") else ForwarderNode
+        self.planners = [planner(self, f"p{n}") for n in range(shape.get("planners", 2))]
+        self.forwarders = [forwarder(self, name) for name in self.forwarder_names]
         self.members: dict[str, Member] = {m.name: m for m in (*self.planners, *self.forwarders)}
         self.detailed = coverage is not None or self.trace.keep or any(s.on for s in schedule.steps)
 
@@ -277,9 +280,13 @@
         one, other = self.members.get(who), self.members.get(to)
         if one is None or other is None or not one.alive:
             return
-        wires = one.wires.values() if isinstance(one, ForwarderNode) else getattr(one, "wires", [])
-        for wire in [w for w in wires if w.ends[one] is other]:
-            wire.close(one, reset)
+        streams: Iterable[Stream] = getattr(one, "wires", ())
+        if isinstance(one, Pathed):
+            streams = one.paths
+        elif isinstance(one, ForwarderNode):
+            streams = one.wires.values()
+        for stream in [s for s in streams if s.ends[one] is other]:
+            stream.close(one, reset)
 
     def play_leave(self, step: Step, who: str, to: str) -> None:
         self.kernel.at(self.kernel.now, self.leave, who, step.seconds)
--- a/embersill/rig/processes.py
+++ b/embersill/rig/processes.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import os
+import random
 import signal
 import socket
 from collections.abc import Callable
@@ -15,6 +16,7 @@
 
 TICKS = os.sysconf("SC_CLK_TCK")
 MOST_LOG = 200  # lines of a process's log that are kept
+LISTENING = (10_000, 32_768)  # ports that processes of a deployment are given
 STARVED_EVERY = 0.1  # seconds: a starved process runs for a part of each of these
 
 
@@ -125,12 +127,30 @@
         return int(next(line for line in file if line.startswith("VmRSS")).split()[1])
 
 
+def first_ephemeral() -> int:
+    """The first port that the system gives to whoever dials."""
+    try:
+        with open("/proc/sys/net/ipv4/ip_local_port_range") as file:
+            return int(file.read().split()[0])
+    except (OSError, ValueError, IndexError):
+        return LISTENING[1]
+
+
 def free_ports(count: int) -> list[int]:
-    """Ports that nobody listens on now: closed again only once all are found."""
-    held = []
-    for _ in range(count):
+    """Ports that nobody listens on now: closed again only once all are found.
+
+    They are drawn from below those of connections that are dialled: a process that listens on one only some
+    time later, or again after a while, would find it taken now and then.
+    """
+    least, most = LISTENING[0], max(min(LISTENING[1], first_ephemeral()), LISTENING[0] + 1000)
+    held: list[socket.socket] = []
+    while len(held) < count:
         sock = socket.socket()
-        sock.bind((HOST, 0))
+        try:
+            sock.bind((HOST, random.SystemRandom().randrange(least, most)))
+        except OSError:
+            sock.close()
+            continue
         held.append(sock)
     ports = [sock.getsockname()[1] for sock in held]
     for sock in held:
--- a/embersill/tiers/links.py
+++ b/embersill/tiers/links.py
@@ -13,6 +13,7 @@
 import os
 from collections.abc import Callable, Iterable
 from functools import partial
+from typing import Protocol
 
 from embersill.interface import Action
 from embersill.net.driver import Driver
@@ -28,15 +29,23 @@
 log = logging.getLogger("embersill")
 
 
+class Connection(Protocol):
+    """What a path is to its session."""
+
+    def write(self, framed: bytes) -> None: ...
+
+    def close(self) -> None: ...
+
+
 class Trunk:
-    """One end of a session on sockets: its connections by path, and what of it both ends have alike."""
+    """One end of a session: its connections by path, and what of it both ends have alike."""
 
     def __init__(self, clock: Callable[[], float], multipath: Multipath) -> None:
         self.clock, self.multipath = clock, multipath
-        self.links: dict[str, FrameProtocol] = {}
+        self.links: dict[str, Connection] = {}
         self.pathless_since = clock()
 
-    def join(self, path: str, link: FrameProtocol) -> None:
+    def join(self, path: str, link: Connection) -> None:
         older = self.links.pop(path, None)
         if older is not None:
             older.close()
@@ -45,7 +54,7 @@
         self.multipath.join(path, self.clock())
         self.write()
 
-    def leave(self, path: str, link: FrameProtocol) -> bool:
+    def leave(self, path: str, link: Connection) -> bool:
         """False for a connection that is no path any more."""
         if self.links.get(path) is not link:
             return False
@@ -88,11 +97,78 @@
 
 
 class PlannerTrunk(Trunk):
-    def __init__(self, server: PlannerServer, proof: Proof, token: int) -> None:
+    def __init__(self, trunks: PlannerTrunks, proof: Proof, token: int) -> None:
         super().__init__(
-            server.clock, Multipath(server.core.terms, server.most_frame, server.most_unsent))
+            trunks.clock, Multipath(trunks.core.terms, trunks.most_frame, trunks.most_unsent))
         self.name, self.life, self.number, self.token = proof.name, proof.life, proof.session, token
-        self.session: Session = server.core.link_up(proof.name, server.clock())
+        self.session: Session = trunks.core.link_up(proof.name, trunks.clock())
+
+
+class PlannerTrunks:
+    """All sessions of a planner with forwarders. `due` is called when something may have to be said."""
+
+    def __init__(self, core: Planner, clock: Callable[[], float], most_frame: int, most_unsent: int,
+                 due: Callable[[], None]) -> None:
+        self.core, self.clock, self.due = core, clock, due
+        self.most_frame, self.most_unsent = most_frame, most_unsent
+        self.trunks: dict[str, PlannerTrunk] = {}  # by forwarder
+        self.last_token = 0
+
+    def trunk_of(self, proof: Proof) -> PlannerTrunk:
+        """The session that a connection belongs to; a new one takes the place of an older one."""
+        trunk = self.trunks.get(proof.name)
+        if trunk is not None and trunk.life == proof.life:
+            if trunk.number == proof.session:
+                return trunk
+            if trunk.number > proof.session:
+                raise Stranger("an older session")
+        if trunk is not None:
+            self.end(trunk)
+        self.last_token += 1
+        trunk = self.trunks[proof.name] = PlannerTrunk(self, proof, self.last_token)
+        return trunk
+
+    def came(self, trunk: PlannerTrunk, path: str, frame: bytes) -> None:
+        """A frame on a path of a session, which a bad one ends: BadFrame."""
+        if self.trunks.get(trunk.name) is not trunk:
+            return
+        try:
+            for batch in trunk.came(path, frame):
+                self.received(trunk, batch)
+        except BadFrame:
+            self.end(trunk)
+            raise
+        self.due()
+
+    def received(self, trunk: PlannerTrunk, batch: Batch) -> None:
+        self.core.received(trunk.session, batch, self.clock())
+
+    def lost(self, trunk: PlannerTrunk, path: str, link: Connection) -> None:
+        """A connection is over."""
+        if trunk.leave(path, link):
+            if not trunk.links:
+                self.core.link_lost(trunk.session)
+            self.due()
+
+    def end(self, trunk: PlannerTrunk) -> None:
+        if self.trunks.get(trunk.name) is trunk:
+            del self.trunks[trunk.name]
+            self.core.link_down(trunk.session, self.clock())
+            self.due()
+        trunk.close()
+
+    def look_after(self) -> None:
+        """To be called once in a beat, after the core's own tick."""
+        dead, self.core.dead = self.core.dead, []
+        for trunk in list(self.trunks.values()):
+            if trunk.session in dead or trunk.over(self.core.terms.silent_after):
+                self.end(trunk)
+
+    def flush(self) -> None:
+        for trunk in list(self.trunks.values()):
+            session = trunk.session
+            if session.outbox or session.acked > session.acked_told:
+                trunk.say(*self.core.said(session))
 
 
 class PlannerLink(TakenProtocol):
@@ -117,7 +193,7 @@
             self.dialling = self.server.loop.create_task(self.carry(proof))
             return
         self.path = proof.via
-        self.trunk = self.server.trunk_of(proof)
+        self.trunk = self.server.sessions.trunk_of(proof)
         self.accept(proof, self.trunk.token)
         self.trunk.join(self.path, self)
         self.server.due()
@@ -146,17 +222,8 @@
             self.carried.back_is_full(False)
 
     def frame_came(self, frame: bytes) -> None:
-        trunk, server = self.trunk, self.server
-        assert trunk is not None
-        if server.trunks.get(trunk.name) is not trunk:
-            return
-        try:
-            for batch in trunk.came(self.path, frame):
-                server.core.received(trunk.session, batch, server.clock())
-        except BadFrame:
-            server.end(trunk)
-            raise
-        server.due()
+        assert self.trunk is not None
+        self.server.sessions.came(self.trunk, self.path, frame)
 
     def lost(self) -> None:
         super().lost()
@@ -164,10 +231,8 @@
             self.dialling.cancel()
         if self.carried is not None:
             self.carried.close()
-        if self.trunk is not None and self.trunk.leave(self.path, self):
-            if not self.trunk.links:
-                self.server.core.link_lost(self.trunk.session)
-            self.server.due()
+        if self.trunk is not None:
+            self.server.sessions.lost(self.trunk, self.path, self)
 
 
 class PlannerServer:
@@ -181,8 +246,8 @@
         self.core, self.clock, self.secret, self.name = core, clock, secret, name
         self.most_frame, self.most_unsent = most_frame, most_unsent
         self.incarnation = os.urandom(8).hex()
-        self.trunks: dict[str, PlannerTrunk] = {}  # by forwarder
-        self.last_token = 0
+        self.sessions = PlannerTrunks(core, clock, most_frame, most_unsent, self.due)
+        self.trunks = self.sessions.trunks
         self.strangers: set[TakenProtocol] = set()
         self.carrier = Carrier({p: place for p, place in (others or {}).items() if p != name})
         self.loop = asyncio.get_running_loop()
@@ -200,33 +265,9 @@
         assert self.server is not None
         return int(self.server.sockets[0].getsockname()[1])
 
-    def trunk_of(self, proof: Proof) -> PlannerTrunk:
-        """The session that a connection belongs to; a new one takes the place of an older one."""
-        trunk = self.trunks.get(proof.name)
-        if trunk is not None and trunk.life == proof.life:
-            if trunk.number == proof.session:
-                return trunk
-            if trunk.number > proof.session:
-                raise Stranger("an older session")
-        if trunk is not None:
-            self.end(trunk)
-        self.last_token += 1
-        trunk = self.trunks[proof.name] = PlannerTrunk(self, proof, self.last_token)
-        return trunk
-
-    def end(self, trunk: PlannerTrunk) -> None:
-        if self.trunks.get(trunk.name) is trunk:
-            del self.trunks[trunk.name]
-            self.core.link_down(trunk.session, self.clock())
-            self.due()
-        trunk.close()
-
     def tick(self) -> None:
         self.core.tick(self.clock())
-        dead, self.core.dead = self.core.dead, []
-        for trunk in list(self.trunks.values()):
-            if trunk.session in dead or trunk.over(self.core.terms.silent_after):
-                self.end(trunk)
+        self.sessions.look_after()
         self.due()
         self.ticker = self.loop.call_later(self.core.terms.beat_every, self.tick)
 
@@ -244,10 +285,7 @@
             self.loop.call_later(delay, self.timer_due, key, now + delay)
         if self.before_said is not None:
             self.before_said()
-        for trunk in list(self.trunks.values()):
-            session = trunk.session
-            if session.outbox or session.acked > session.acked_told:
-                trunk.say(*self.core.said(session))
+        self.sessions.flush()
 
     def timer_due(self, key: str, due: float) -> None:
         self.core.timer_due(key, due, max(self.clock(), due))
@@ -273,14 +311,14 @@
 class ForwarderLink(FrameProtocol):
     """A connection to a planner, direct or carried by another, to which it proves itself first."""
 
-    def __init__(self, line: ForwarderLine, via: str) -> None:
-        super().__init__(line.links.most_frame, line.links.most_unsent)
-        self.line, self.via, self.number = line, via, line.number
+    def __init__(self, links: ForwarderLinks, line: ForwarderLine, via: str) -> None:
+        super().__init__(links.most_frame, links.most_unsent)
+        self.links, self.line, self.via, self.number = links, line, via, line.number
         self.carrying = bool(via)  # its end is the one who carries, as yet
         self.side = self.side_to(line.planner if not via else via, to=line.planner if via else "")
 
     def side_to(self, planner: str, to: str = "") -> ForwarderSide:
-        links = self.line.links
+        links = self.links
         return ForwarderSide(
             links.secret, links.name, planner, os.urandom(32), life=links.life, session=self.number,
             via="" if to else self.via, to=to)
@@ -311,24 +349,42 @@
             self.line.leave(self)
 
 
+class LineHost(Protocol):
+    """What a line needs of the forwarder's side."""
+
+    core: Forwarder
+    clock: Callable[[], float]
+    most_frame: int
+    most_unsent: int
+
+    def perform(self, actions: Iterable[Action]) -> None: ...
+
+    def heard(self, planner: str, batch: Batch) -> None: ...
+
+
+class Dialled(Connection, Protocol):
+    """A connection of a line: over whom, and of which of its sessions."""
+
+    via: str
+    number: int
+
+
 class ForwarderLine:
     """The session with one planner, and the connections that it goes over: dialled again when they end."""
 
-    def __init__(self, links: ForwarderLinks, planner: str) -> None:
+    def __init__(self, links: LineHost, planner: str) -> None:
         self.links, self.planner = links, planner
         self.last_reason = ""
         self.number = 1  # of the session
         self.token = 0  # the planner's name of it, once there is one
         self.trunk = self.new_trunk()
-        self.diallers = [Dialler(partial(ForwarderLink, self, via), links.planners[via or planner])
-                         for via in (DIRECT, *links.helpers_to(planner))]
 
     def new_trunk(self) -> Trunk:
         links = self.links
         return Trunk(links.clock, Multipath(
             links.core.terms, links.most_frame, links.most_unsent, beats=True))
 
-    def join(self, link: ForwarderLink, incarnation: str, token: int) -> None:
+    def join(self, link: Dialled, incarnation: str, token: int) -> None:
         if link.number != self.number:  # of a session that ended meanwhile
             return link.close()
         if self.token and token != self.token:  # the planner has given the session up
@@ -341,7 +397,7 @@
             self.links.perform(self.links.core.link_up(self.planner, incarnation, self.links.clock()))
         return self.trunk.join(link.via, link)
 
-    def came(self, link: ForwarderLink, frame: bytes) -> None:
+    def came(self, link: Dialled, frame: bytes) -> None:
         if link.number != self.number or not self.token:
             return
         try:
@@ -352,7 +408,7 @@
         for batch in batches:
             self.links.heard(self.planner, batch)
 
-    def leave(self, link: ForwarderLink) -> None:
+    def leave(self, link: Dialled) -> None:
         if link.number == self.number and self.trunk.leave(link.via, link) and not self.trunk.links:
             self.links.perform(self.links.core.link_lost(self.planner, self.links.clock()))
 
@@ -367,10 +423,6 @@
         ended.close()
         self.links.perform(self.links.core.link_down(self.planner, self.links.clock()))
 
-    def close(self) -> None:
-        for dialler in self.diallers:
-            dialler.task.cancel()
-
 
 class ForwarderLinks:
     """A forwarder's side of all sessions. Stands in for the decision module towards the driver."""
@@ -388,6 +440,7 @@
         self.loop = asyncio.get_running_loop()
         self.driver: Driver | None = None
         self.lines: dict[str, ForwarderLine] = {}
+        self.diallers: list[Dialler[ForwarderLink]] = []
         self.flushing = False
         self.ticker: asyncio.TimerHandle | None = None
 
@@ -399,7 +452,9 @@
     def start(self, driver: Driver) -> None:
         self.driver = driver
         for planner in self.planners:
-            self.lines[planner] = ForwarderLine(self, planner)
+            line = self.lines[planner] = ForwarderLine(self, planner)
+            self.diallers += [Dialler(partial(ForwarderLink, self, line, via), self.planners[via or planner])
+                              for via in (DIRECT, *self.helpers_to(planner))]
         self.tick()
 
     def handle(self, event: object, now: float) -> list[Action]:
@@ -455,8 +510,9 @@
             self.ticker.cancel()
         self.core.stop(self.clock())
         self.flush()
+        for dialler in self.diallers:
+            dialler.task.cancel()
         for line in self.lines.values():
-            line.close()
             for link in line.trunk.links.values():
-                if link.transport is not None:
+                if isinstance(link, FrameProtocol) and link.transport is not None:
                     link.transport.close()  # after the last words
