--- a/embersill/lab/levels/search.py
+++ b/embersill/lab/levels/search.py
@@ -93,6 +93,7 @@
     breaks: int = 1
     kills: int = 1
     drains: int = 0
+    losses: int = 0  # of a session's direct path; it goes on over the other planner once that is found
 
 
 class Small:
@@ -116,6 +117,8 @@
         self.out: dict[tuple[int, int], tuple[str, str]] = {}  # (request, attempt): forwarder, backend
         self.tries: dict[int, int] = {}
         self.lending: set[str] = set()  # forwarders whose Lend is on its way
+        self.lost: set[tuple[str, str]] = set()  # (forwarder, planner): no path leads from one to the other
+        self.over: dict[tuple[str, str], str] = {}  # sessions that go over a helper: which
         for forwarder in FORWARDERS:
             for planner in PLANNERS:
                 self.link(forwarder, planner)
@@ -167,6 +170,7 @@
             f"deliver {sender} {to}"
             for (sender, to), queue in sorted(self.queues.items())
             if queue and (self.is_open(sender, to) or to in self.planners)
+            and not self.lost & {(sender, to), (to, sender)}
         ]
         steps += [f"tick {name}" for name in (*FORWARDERS, *PLANNERS) if name not in self.ticked]
         left = self.left
@@ -186,6 +190,9 @@
                 for forwarder, planner in sorted(self.linked)
                 for one, other in ((forwarder, planner), (planner, forwarder))
             ]
+        if left.losses:
+            steps += [f"lose {forwarder} {planner}" for forwarder, planner in sorted(self.linked - self.lost)]
+        steps += [f"find {forwarder} {planner}" for forwarder, planner in sorted(self.lost & self.linked)]
         if left.kills:
             steps += [f"kill {name}" for name in PLANNERS]
         if left.drains:
@@ -209,6 +216,8 @@
             self.forwarders,
             self.planners,
             sorted(self.linked),
+            sorted(self.lost),
+            sorted(self.over.items()),
             self.sessions,
             self.queues,
             self.ticked,
@@ -278,6 +287,7 @@
     def do_break(self, one: str, other: str) -> None:
         """A link ends at one end only: the other goes on as if nothing had been."""
         self.left.breaks -= 1
+        self.lost -= {(one, other), (other, one)}
         if one in self.forwarders:
             self.linked.discard((one, other))
             self.did(one, self.forwarders[one].link_down(other, self.now))
@@ -287,9 +297,33 @@
                 self.planners[one].link_down(session, self.now)
                 self.flush_planner(one)
 
+    def do_lose(self, forwarder: str, planner: str) -> None:
+        """The last path of a session goes, as both ends see; what is under way on it waits for another."""
+        self.left.losses -= 1
+        self.lose(forwarder, planner)
+
+    def lose(self, forwarder: str, planner: str) -> None:
+        self.lost.add((forwarder, planner))
+        self.over.pop((forwarder, planner), None)
+        session = self.sessions.get((forwarder, planner))
+        if session is not None:
+            self.planners[planner].link_lost(session)
+        self.did(forwarder, self.forwarders[forwarder].link_lost(planner, self.now))
+
+    def do_find(self, forwarder: str, planner: str) -> None:
+        """The session goes on over the other planner, as long as that one lives."""
+        self.lost.discard((forwarder, planner))
+        self.over[forwarder, planner] = next(name for name in PLANNERS if name != planner)
+
     def do_kill(self, name: str) -> None:
         """A planner dies and is back at once, with nothing; its forwarders link anew."""
         self.left.kills -= 1
+        for (forwarder, planner), helper in list(self.over.items()):
+            if helper == name:
+                self.lose(forwarder, planner)
+        for forwarder in FORWARDERS:
+            self.lost.discard((forwarder, name))
+            self.over.pop((forwarder, name), None)
         self.lives[name] += 1
         self.planners[name] = self.planner()
         for forwarder in FORWARDERS:
@@ -369,8 +403,11 @@
             part, throttle = core.parts[0], core.local.throttles.get(CUSTOMER)
             if part.holder is None and part.free_at() <= self.now:
                 users.setdefault(name, []).append(name)
+            kept = core.reserves.get(CUSTOMER)
+            left = kept.units if kept is not None else 0.0
             if throttle is not None and (part.holder is None or throttle.queue):
-                beliefs.append((name, throttle.filled((throttle.cap, throttle.stamp), self.now)))
+                left = max(left, throttle.filled((throttle.cap, throttle.stamp), self.now))
+            beliefs.append((name, left))
         self.rules.see(Held(self.now, 0, tuple((f, tuple(u)) for f, u in sorted(users.items()))))
         self.rules.see(Credit(self.now, CUSTOMER, tuple(beliefs)))
 
--- a/embersill/lab/levels/wide.py
+++ b/embersill/lab/levels/wide.py
@@ -25,6 +25,8 @@
     "embersill.tiers.planner",
     "embersill.tiers.ledger",
     "embersill.tiers.parts",
+    "embersill.tiers.reserves",
+    "embersill.tiers.multipath",
     "embersill.ratelimit.asking",
 )
 TESTS = (
@@ -34,6 +36,7 @@
     "tests/test_adapter.py",
     "tests/tiers/test_takeover.py",
     "tests/tiers/test_ledger.py",
+    "tests/tiers/test_multipath.py",
     "tests/tiers/test_wire.py",
     "tests/ratelimit/test_asking.py",
     "tests/ratelimit/test_answering.py",
--- a/embersill/tiers/reserves.py
+++ b/embersill/tiers/reserves.py
@@ -25,6 +25,7 @@
 HALF_LIFE = 2.0  # seconds after which a unit asked for counts half: a few requests of a customer each
 BALANCED_EVERY = 0.25  # seconds between looks at where a customer's reserve should be
 TOP_UP = 0.5  # of what a forwarder should hold, below which it gets more
+SURPLUS = 0.25  # of all that may be held, beyond what a forwarder should hold, from which it is asked back
 PORTION_MOVED = 0.2  # by which a forwarder's part of the demand must have changed to be told anew
 LEAST_UNITS = 1.0  # that are worth a message
 KEPT_BACK = 0.25  # of its own depth that a planner does not hand out
@@ -99,7 +100,7 @@
         wanted, has, units = most * portion, held[who], 0.0
         if has < TOP_UP * wanted:
             units = max(min(wanted - has, room), 0.0)
-        elif has > wanted + TOP_UP * most:
+        elif has > wanted + SURPLUS * most:
             units = wanted - has
         if abs(units) < LEAST_UNITS:
             units = 0.0
--- a/tests/tiers/test_schedules.py
+++ b/tests/tiers/test_schedules.py
@@ -87,6 +87,13 @@
         assert coverage.pairs[pair], pair
 
 
+def test_the_small_is_searched_with_a_helper_that_is_lost_too() -> None:
+    """Two planners, two forwarders, and a session that loses its direct path and goes on over the other."""
+    told = search(3, 100_000, 4, Bounds(advances=2, ends=0, breaks=0, losses=1))
+    assert told["search_complete"] and not told["broken"]
+    assert told["states_explored"] > 500
+
+
 def test_the_small_is_searched_whole() -> None:
     told = search(3, 100_000, 4, Bounds(drains=1))
     assert told["search_complete"] and not told["broken"]
--- a/tests/tiers/test_takeover.py
+++ b/tests/tiers/test_takeover.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from dataclasses import replace
 
 import pytest
@@ -11,6 +12,7 @@
 from embersill.tiers.forwarder import Forwarder
 from embersill.tiers.messages import Batch, Grant, Recall, Refused, Reserve
 from embersill.tiers.parts import part_of
+from embersill.tiers.reserves import Demand, balanced, depth_left, most_reserved
 from tests.tiers.helpers import PARTS, TERMS, Bench, backends
 
 
@@ -501,3 +503,98 @@
     bench.run(0.3)
     core, part = bench.planners[planner], bench.planners[planner].parts[part_of("c", PARTS)]
     assert core.held_of(part, "c") <= 2.0
+
+
+def test_a_planner_that_hears_fewer_is_left_by_all_and_taken_again_by_all_at_one_time() -> None:
+    bench = Bench(forwarders=3)
+    bench.link_all()
+    bench.run(TERMS.bequest)
+    old = bench.holder("f0")
+    assert {bench.holder(name) for name in bench.names} == {old}
+    bench.cut("f2", old)
+    assert bench.holder("f2") == other(old)
+    bench.run(2 * TERMS.silent_after + 3 * TERMS.beat_every)
+    assert {bench.holder(name) for name in bench.names} == {other(old)}
+    assert bench.planners[other(old)].parts[part_of("c", PARTS)].whole
+    # f2 is back: nobody follows at once, then all do, at about one beat
+    bench.link("f2", old)
+    bench.run(TERMS.settle - 2 * TERMS.beat_every)
+    assert {bench.holder(name) for name in bench.names} == {other(old)}
+    bench.run(5 * TERMS.beat_every)
+    assert {bench.holder(name) for name in bench.names} == {old}
+    assert bench.planners[old].parts[part_of("c", PARTS)].whole
+
+
+def test_one_that_loses_all_planners_goes_back_to_the_first_of_each_part_at_once() -> None:
+    bench = Bench()
+    bench.link_all()
+    bench.run(TERMS.bequest)
+    before = {bench.holder(name) for name in bench.names}
+    for name in bench.names:
+        for planner in bench.planner_names:
+            bench.did(name, bench.forwarders[name].link_lost(planner, bench.now))
+        assert bench.holder(name) == ""  # known at once: no patience is spent to find it out
+    bench.run(3 * TERMS.beat_every)
+    assert {bench.holder(name) for name in bench.names} == before
+
+
+def test_where_all_planners_are_late_none_is_left_sooner_than_twice_the_silence() -> None:
+    bench = Bench(forwarders=1)
+    bench.link_all()
+    bench.run(TERMS.bequest)
+    core, holder = bench.forwarders["f0"], bench.holder("f0")
+    for link in core.links.values():
+        link.heard = bench.now
+    bench.now += 1.5 * TERMS.silent_after
+    core.tick(bench.now)
+    assert bench.holder("f0") == holder
+    bench.now += 0.6 * TERMS.silent_after
+    core.tick(bench.now)
+    assert bench.holder("f0") == ""
+
+
+def test_reserves_follow_the_demand_and_never_add_up_to_more_than_they_may() -> None:
+    demand, now, held = Demand("pro", 100.0), 100.0, {"f0": 0.0, "f1": 0.0, "f2": 0.0}
+    chance = random.Random(5)
+    busiest = "f0"
+    for step in range(4000):
+        now += 0.05
+        if step % 800 == 400:
+            busiest = {"f0": "f1", "f1": "f2", "f2": "f0"}[busiest]
+        demand.asked(busiest if chance.random() < 0.9 else chance.choice(list(held)), 2.0, now)
+        for handed in balanced(demand, held, 24.0, chance.uniform(0.0, 20.0), now):
+            held[handed.who] = max(held[handed.who] + handed.units, 0.0)
+            assert 0.0 <= handed.portion <= 1.0
+        if step % 40 == 0:
+            held[busiest] = max(held[busiest] - chance.uniform(0.0, 8.0), 0.0)
+        assert sum(held.values()) <= 24.0 + 1e-9
+        if step % 800 == 399:
+            assert held[busiest] > 8.0 and held[busiest] == max(held.values())
+
+
+@pytest.mark.parametrize(("burst", "depth", "rate", "wanted"), [
+    (24.0, 48.0, 12.0, 24.0), (24.0, 30.0, 12.0, 6.0), (24.0, 24.0, 12.0, 0.0), (0.0, 48.0, 0.0, 24.0),
+    (0.0, 20.0, 0.0, 4.0),
+])
+def test_a_customers_burst_passes_at_its_planner_whatever_is_held(
+    burst: float, depth: float, rate: float, wanted: float,
+) -> None:
+    plan = replace(lab_settings(1).plans[1], burst=burst, rate=rate, ceiling_depth=depth)
+    assert most_reserved(plan, 8.0) == wanted
+
+
+@pytest.mark.parametrize("forwarders", [1, 2, 3, 5, 200])
+def test_depths_add_up_to_no_more_than_the_ceilings(forwarders: int) -> None:
+    """Of a planner that some lend to, and of the others on their own, whatever each of them holds."""
+    plan, chance = lab_settings(1).plans[1], random.Random(forwarders)
+    most = most_reserved(plan, 8.0)
+    for _ in range(2000):
+        lenders = chance.randint(0, forwarders)
+        drawn = [chance.random() ** 4 for _ in range(forwarders)]
+        whole = most * chance.random() / sum(drawn)
+        holds = [part * whole for part in drawn]
+        held = sum(holds[:lenders])
+        planner = depth_left(plan, lenders / forwarders, held, lenders, forwarders, most)
+        alone = [max(plan.ceiling_depth / forwarders, units) for units in holds[lenders:]]
+        if planner > 0:
+            assert planner + held + sum(alone) <= plan.ceiling_depth + 1e-9
