Probes of paths are fewer and rarer under load, and an end that stood still judges nothing

Every new path was probed at each beat until it was trusted, every late one for as long as it was late.

Change: five probes in `settle` until a path is trusted, and half as many each time one is not answered in time, down to one in `probe_every`; three beats without a word of it make a batch lost, not two; after a stall of its own an end reads first; where all paths are suspect the direct one is used unless another is clearly better.

--- a/embersill/tiers/multipath.py
+++ b/embersill/tiers/multipath.py
@@ -9,6 +9,11 @@
 A path is suspect when what went on it is not acknowledged, or a probe on it not answered, within
 `resent_after`. It is used again by choice once all its answers came in time for `settle`: a path that comes
 and goes is not followed each time.
+
+A process that is short of processor time looks like a bad path. So that an overload is not answered by more
+traffic, an end that stood still itself judges nothing until it has read what came meanwhile; where all paths
+are suspect the direct one is used unless another is clearly better; probes that are not answered in time
+come less and less often, down to one in `probe_every`.
 """
 
 from __future__ import annotations
@@ -22,6 +27,7 @@
 
 MOST_AHEAD = 4096  # batches that may overtake others: far more than are under way for `resent_after`
 MOST_PROBES = 64  # of one path that wait for their answers
+SETTLED_BY = 5  # probes in `settle`, all answered in time, after which a path is trusted
 DIRECT = ""  # the path over no one else
 NEVER = float("-inf")
 
@@ -35,6 +41,7 @@
     good_since: float = float("inf")  # from when on every answer on it came in time
     answered: float = NEVER  # when the last probe went out that was answered
     probed: float = NEVER
+    every: float = 0.0  # seconds between probes while it is suspect
     probes: dict[int, float] = field(default_factory=dict)  # unanswered: when each went out
 
 
@@ -54,7 +61,7 @@
     def __init__(self, terms: Terms, most_frame: int, most_unsent: int, beats: bool = False) -> None:
         """`beats`: the other end speaks at each beat, and this one asks for what does not come."""
         self.beats = beats
-        self.came_at = self.missed_at = NEVER
+        self.came_at = self.missed_at = self.ticked = NEVER
         self.terms, self.most_frame, self.most_unsent = terms, most_frame, most_unsent
         self.paths: dict[str, Path] = {}
         self.out: list[tuple[str, bytes]] = []
@@ -74,7 +81,8 @@
 
     def join(self, name: str, now: float) -> None:
         """A connection is there. It is not trusted at once where another one serves."""
-        self.paths[name] = Path(name, any(not path.suspect for path in self.paths.values()), probed=now)
+        self.paths[name] = Path(name, any(not path.suspect for path in self.paths.values()), probed=now,
+                                every=self.terms.settle / SETTLED_BY)
         self.settle(now)
 
     def leave(self, name: str, now: float) -> None:
@@ -90,10 +98,10 @@
         if not self.paths:
             return None
         last = max(self.paths.values(), key=lambda path: (path.answered, path.name == DIRECT))
-        used = self.used
-        if used in self.paths.values() and used is not None and (
-                used.answered >= last.answered - self.terms.resent_after):
-            return used  # neither is better
+        for path in (self.paths.get(DIRECT), self.used):
+            if path is not None and self.paths.get(path.name) is path and (
+                    path.answered >= last.answered - self.terms.silent_after):
+                return path  # no other is clearly better
         return last
 
     def settle(self, now: float) -> None:
@@ -168,6 +176,7 @@
                 path.answered = max(path.answered, asked)
                 if now - asked <= self.terms.resent_after:
                     path.good_since = min(path.good_since, now)
+                    path.every = self.terms.settle / SETTLED_BY
                 else:
                     self.suspect(path)
 
@@ -183,29 +192,44 @@
     # time
 
     def suspect(self, path: Path) -> None:
+        if not path.suspect:
+            path.every = self.terms.settle / SETTLED_BY
         path.suspect, path.good_since = True, float("inf")
 
-    def tick(self, now: float) -> None:
-        """To be called about once in `beat_every`: probes the paths that are not in use, leaves bad ones."""
-        late = now - self.terms.resent_after
+    def judge(self, late: float, now: float) -> None:
+        """Leaves paths on which something has been under way since before `late`."""
+        changed = False
         for kept in self.unacked:
             if kept.sent > late:
                 break
             if kept.path is not None:
                 self.suspect(kept.path)
+                changed = True
         for path in self.paths.values():
-            if any(asked < late for asked in path.probes.values()):
+            if path.probes and any(asked < late for asked in path.probes.values()):
                 self.suspect(path)
+                changed = True
             elif path.suspect and now - path.good_since >= self.terms.settle:
                 path.suspect = False
-        self.settle(now)
+                changed = True
+        if changed:
+            self.settle(now)
         if self.beats and self.came_at > self.missed_at and self.came_at < late and len(self.paths) > 1:
             self.missed_at = now  # once in each silence
             for name in self.paths:
                 self.beside(name, Missing())
+
+    def tick(self, now: float) -> None:
+        """To be called about once in `beat_every`: probes the paths that are not in use, leaves bad ones."""
+        stood, self.ticked = now - self.ticked > 2 * self.terms.beat_every, now
+        late = now - self.terms.resent_after
+        if not stood:  # else what it waits for may have come, and not been read yet
+            self.judge(late, now)
         for path in self.paths.values():
-            every = self.terms.beat_every if path.suspect else self.terms.probe_every
+            every = path.every if path.suspect else self.terms.probe_every
             if now - path.probed >= every and (path.suspect or path is not self.used):
+                if any(asked < late for asked in path.probes.values()):
+                    path.every = min(2 * path.every, self.terms.probe_every)
                 self.last_probe += 1
                 path.probed = path.probes[self.last_probe] = now
                 while len(path.probes) > MOST_PROBES:
--- a/embersill/tiers/terms.py
+++ b/embersill/tiers/terms.py
@@ -38,7 +38,7 @@
     gather: float = 0.1  # for which a planner that takes a part over waits for all forwarders' reports
     settle: float = 1.0  # from a planner's start until it takes parts back though not all are linked
     bequest: float = 5.0  # for which a planner may go on with the share of a forwarder that stopped in order
-    resend_after: float = 0.0  # without a word of it, a batch goes out on another path; nought: two beats
+    resend_after: float = 0.0  # without a word of it, a batch goes out on another path; nought: by the others
     probe_every: float = 1.0  # on paths that are not in use
     recall: float = 0.1  # for which a forwarder waits for its share to be returned
 
@@ -49,8 +49,11 @@
 
     @property
     def resent_after(self) -> float:
-        """A planner says what it has seen once a beat at the least: a second beat without it is a loss."""
-        return self.resend_after or 2 * self.beat_every
+        """A planner says what it has seen once a beat at the least, so the third beat without it is a loss.
+
+        That has to be mended before a silence is noticed, also with few beats to one.
+        """
+        return self.resend_after or min(3 * self.beat_every, 0.6 * self.silent_after)
 
 
 def check_terms(terms: Terms) -> None:
