--- a/embersill/configuration/operator.py
+++ b/embersill/configuration/operator.py
@@ -38,7 +38,7 @@
     most_customers: int = 100_000
     most_open: int = 50_000
     status_every: float = 0.0  # seconds between lines on the state, on standard output; nought: none
-    helpers: int = 2  # further planners at most over which a forwarder reaches each one
+    helpers: int = 0  # further planners at most over which a forwarder reaches each one
     tell_refusals: bool = False  # a forwarder writes a line on each refusal, for whoever looks for causes
     terms: Terms = Terms()
 
--- a/embersill/rig/deployment.py
+++ b/embersill/rig/deployment.py
@@ -51,6 +51,7 @@
     council_tables: str = ""  # tables below [council], with BILLING for billing's address; "" is no council
     relayed: tuple[str, ...] = ()  # ways that go over relays, in the words of scenarios
     zones: dict[str, list[str]] = field(default_factory=dict)
+    helpers: int = 0  # other planners over which forwarders reach each one
     tell_refusals: bool = False  # forwarders write a line on each
 
 
@@ -166,6 +167,7 @@
                     for p, port in self.ports.items()}
         lines = [f'role = "{role}"', "[tiers]", f"forwarders = {json.dumps(forwarders)}",
                  'secret_file = "secret"', f"status_every = {self.shape.status_every}",
+                 f"helpers = {self.shape.helpers}",
                  f"tell_refusals = {str(self.shape.tell_refusals).lower()}", "[tiers.planners]",
                  *(f'{p} = "{address}"' for p, address in planners.items())]
         text = "\n".join(lines) + "\n"
--- a/embersill/tiers/multipath.py
+++ b/embersill/tiers/multipath.py
@@ -66,6 +66,7 @@
         self.paths: dict[str, Path] = {}
         self.out: list[tuple[str, bytes]] = []
         self.sent = self.got = self.last_probe = 0
+        self.failed: set[str] = set()  # names of paths that were lost or suspect in this session
         self.unacked: deque[Unacked] = deque()
         self.unacked_bytes = 0
         self.ahead: dict[int, Batch] = {}  # that overtook others
@@ -80,14 +81,16 @@
     # paths
 
     def join(self, name: str, now: float) -> None:
-        """A connection is there. It is not trusted at once where another one serves."""
-        self.paths[name] = Path(name, any(not path.suspect for path in self.paths.values()), probed=now,
+        """A connection is there. One on a path that failed before is not trusted at once beside another."""
+        again = name in self.failed and any(not path.suspect for path in self.paths.values())
+        self.paths[name] = Path(name, again, probed=now,
                                 every=self.terms.settle / SETTLED_BY)
         self.settle(now)
 
     def leave(self, name: str, now: float) -> None:
         """A connection is gone; what was on it goes out on another."""
         if self.paths.pop(name, None) is not None:
+            self.failed.add(name)
             self.settle(now)
 
     def best(self) -> Path | None:
@@ -195,6 +198,7 @@
         if not path.suspect:
             path.every = self.terms.settle / SETTLED_BY
         path.suspect, path.good_since = True, float("inf")
+        self.failed.add(path.name)
 
     def judge(self, late: float, now: float) -> None:
         """Leaves paths on which something has been under way since before `late`."""
