Read again: what nobody reads is gone from reserves, carrying and the forwarder

Seen on reading the change: a request's time left was handed to allot_here and a plan to Demand, and neither was read; carrying.py had a logger without a word; a reserve that is not there was told from one that is in three places (one empty reserve now); the interval of a suspect path's probes was worked out in three.

--- a/embersill/lab/levels/fences.py
+++ b/embersill/lab/levels/fences.py
@@ -91,9 +91,9 @@
         "local-cap",
         FORWARDER,
         "a decision made here starts from a full share",
-        "return held + (0.0 if part.lent else plan.ceiling_rate * self.share * (self.now - part.free_at()))",
-        "return held + plan.ceiling_depth * self.share",
-        ((FORWARDER, "ceiling, depth = 0.0, held\n", "ceiling = 0.0\n"),),
+        "return kept.units + filled",
+        "return kept.units + plan.ceiling_depth * self.share",
+        ((FORWARDER, "ceiling, depth = 0.0, kept.units\n", "ceiling = 0.0\n"),),
     ),
     # what forwarders hold of ceilings in reserve
     Fence(
--- a/embersill/tiers/carrying.py
+++ b/embersill/tiers/carrying.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 from collections.abc import Callable
 from typing import cast
 
@@ -18,8 +17,6 @@
 
 MOST_WAITING = 1 << 20  # bytes of one direction that wait here before the sender is made to wait
 
-log = logging.getLogger("embersill")
-
 
 class Carried(asyncio.Protocol):
     """The connection onwards. `back` takes what comes over it, which waits while `back` can't take more."""
--- a/embersill/tiers/forwarder.py
+++ b/embersill/tiers/forwarder.py
@@ -49,8 +49,8 @@
     heard: float = 0.0  # when it last said anything
     reach: int = -1  # how many forwarders it hears, by its word; below nought: it has not said
     short: bool = False  # it has heard fewer than another planner for long enough to count
-    fit_since: float = 0.0
-    turned: float = float("inf")  # since when it says so
+    turned: float = float("inf")  # since when it has heard fewer, while that does not count yet
+    fit_since: float = 0.0  # when it was heard again, after it was not
     echoes: dict[int, float] = field(default_factory=dict)  # beat: when it was echoed
     last_echo: float = float("-inf")
     acked: int = 0
@@ -90,6 +90,9 @@
     portion: float
 
 
+NOTHING = Reserved(0.0, 0.0)  # of a customer of whom this forwarder was told nothing: never changed
+
+
 @dataclass(slots=True, eq=False)
 class Task:
     """A request that the driver owes an answer or whose attempts are out."""
@@ -236,7 +239,7 @@
         task.local = True
         self.counts["local"] += 1
         request = replace(task.request, width=1)
-        self.allot_here(request.customer, request.plan, task.part, request.deadline - self.now)
+        self.allot_here(request.customer, request.plan, task.part)
         if task.attempts:
             self.tell_local(Inherited(
                 request, self.now - task.arrived,
@@ -244,34 +247,31 @@
         else:
             self.tell_local(request)
 
-    def allot_here(self, customer: str, plan_name: str, part: Part, left: float) -> None:
+    def allot_here(self, customer: str, plan_name: str, part: Part) -> None:
         """This forwarder's part of a customer's quota, and of its ceiling once nobody else may use it."""
         plan = self.plans.get(plan_name)
         if plan is None:
             return
-        kept, known = self.reserves.get(customer), self.local.throttles.get(customer)
-        cap = None
-        if plan.ceiling_rate > 0 and (part.lent or known is None):
+        kept, cap = self.reserves.get(customer, NOTHING), None
+        if plan.ceiling_rate > 0 and (part.lent or customer not in self.local.throttles):
             cap = self.cap_here(part, plan, kept)
         self.allot_local(part, customer, plan, kept, cap)
 
-    def cap_here(self, part: Part, plan: Plan, kept: Reserved | None) -> float:
+    def cap_here(self, part: Part, plan: Plan, kept: Reserved) -> float:
         """What is here of a ceiling that nothing was spent of here since it was lent last.
 
         The reserve is there at any time. The share fills once no planner may use it any more, and as if from
         then on however late that is looked at.
         """
-        held = kept.units if kept is not None else 0.0
-        return held + (0.0 if part.lent else plan.ceiling_rate * self.share * (self.now - part.free_at()))
+        filled = 0.0 if part.lent else plan.ceiling_rate * self.share * (self.now - part.free_at())
+        return kept.units + filled
 
-    def allot_local(self, part: Part, customer: str, plan: Plan, kept: Reserved | None, cap: float | None
-                    ) -> None:
+    def allot_local(self, part: Part, customer: str, plan: Plan, kept: Reserved, cap: float | None) -> None:
         # a quota is soft: one that comes here only since this forwarder is alone has an even part at least
-        portion = min(ALONE * max(kept.portion if kept is not None else 0.0, self.share), 1.0)
-        held = kept.units if kept is not None else 0.0
-        ceiling, depth = self.share, max(plan.ceiling_depth * self.share, held)
+        portion = min(ALONE * max(kept.portion, self.share), 1.0)
+        ceiling, depth = self.share, max(plan.ceiling_depth * self.share, kept.units)
         if part.lent:  # it does not fill here
-            ceiling, depth = 0.0, held
+            ceiling, depth = 0.0, kept.units
         self.tell_local(Allotted(customer, plan.name, portion, ceiling, cap, None, depth))
 
     def allot_part(self, part: Part) -> None:
@@ -280,7 +280,7 @@
         for customer, throttle in list(self.local.throttles.items()):
             plan = throttle.plan
             if plan.ceiling_rate > 0 and part_of(customer, len(self.parts)) == part.number:
-                kept = self.reserves.get(customer)
+                kept = self.reserves.get(customer, NOTHING)
                 self.allot_local(part, customer, plan, kept, self.cap_here(part, plan, kept))
 
     def reserve_told(self, link: Link, message: Reserve) -> None:
--- a/embersill/tiers/ledger.py
+++ b/embersill/tiers/ledger.py
@@ -80,15 +80,12 @@
         safe side.
         """
         known = self.spends.get(customer)
-        for spend in known[1] if known is not None else ():
-            if spend[:2] == (when, units):
-                break
-        else:
-            return
-        assert known is not None
-        known[1].remove(spend)
-        if not known[1]:
-            self.drop(customer)
+        spends = known[1] if known is not None else deque()
+        spend = next((spend for spend in spends if spend[:2] == (when, units)), None)
+        if spend is not None:
+            spends.remove(spend)
+            if not spends:
+                self.drop(customer)
 
     def drop(self, customer: str) -> None:
         del self.spends[customer]
--- a/embersill/tiers/multipath.py
+++ b/embersill/tiers/multipath.py
@@ -41,7 +41,7 @@
     good_since: float = float("inf")  # from when on every answer on it came in time
     answered: float = NEVER  # when the last probe went out that was answered
     probed: float = NEVER
-    every: float = 0.0  # seconds between probes while it is suspect
+    every: float = field(kw_only=True)  # seconds between probes while it is suspect
     probes: dict[int, float] = field(default_factory=dict)  # unanswered: when each went out
 
 
@@ -63,6 +63,7 @@
         self.beats = beats
         self.came_at = self.missed_at = self.ticked = NEVER
         self.terms, self.most_frame, self.most_unsent = terms, most_frame, most_unsent
+        self.often = terms.settle / SETTLED_BY  # seconds between probes of a suspect path that answers
         self.paths: dict[str, Path] = {}
         self.out: list[tuple[str, bytes]] = []
         self.sent = self.got = self.last_probe = 0
@@ -83,8 +84,7 @@
     def join(self, name: str, now: float) -> None:
         """A connection is there. One on a path that failed before is not trusted at once beside another."""
         again = name in self.failed and any(not path.suspect for path in self.paths.values())
-        self.paths[name] = Path(name, again, probed=now,
-                                every=self.terms.settle / SETTLED_BY)
+        self.paths[name] = Path(name, again, probed=now, every=self.often)
         self.settle(now)
 
     def leave(self, name: str, now: float) -> None:
@@ -179,7 +179,7 @@
                 path.answered = max(path.answered, asked)
                 if now - asked <= self.terms.resent_after:
                     path.good_since = min(path.good_since, now)
-                    path.every = self.terms.settle / SETTLED_BY
+                    path.every = self.often
                 else:
                     self.suspect(path)
 
@@ -196,7 +196,7 @@
 
     def suspect(self, path: Path) -> None:
         if not path.suspect:
-            path.every = self.terms.settle / SETTLED_BY
+            path.every = self.often
         path.suspect, path.good_since = True, float("inf")
         self.failed.add(path.name)
 
--- a/embersill/tiers/planner.py
+++ b/embersill/tiers/planner.py
@@ -556,7 +556,7 @@
             return
         demand = part.demands.get(ask.customer)
         if demand is None:
-            demand = part.demands[ask.customer] = Demand(ask.plan, self.now)
+            demand = part.demands[ask.customer] = Demand(self.now)
         demand.asked(session.name, ask.units, self.now)
         throttle = self.gateway.throttles.get(ask.customer)
         if not part.whole or throttle is None:
--- a/embersill/tiers/reserves.py
+++ b/embersill/tiers/reserves.py
@@ -57,7 +57,6 @@
 class Demand:
     """What a customer asked for lately, by forwarder, and what these were told of it."""
 
-    plan: str
     at: float
     units: dict[str, float] = field(default_factory=dict)
     balanced: float = float("-inf")
--- a/tests/tiers/test_takeover.py
+++ b/tests/tiers/test_takeover.py
@@ -554,7 +554,7 @@
 
 
 def test_reserves_follow_the_demand_and_never_add_up_to_more_than_they_may() -> None:
-    demand, now, held = Demand("pro", 100.0), 100.0, {"f0": 0.0, "f1": 0.0, "f2": 0.0}
+    demand, now, held = Demand(100.0), 100.0, {"f0": 0.0, "f1": 0.0, "f2": 0.0}
     chance = random.Random(5)
     busiest = "f0"
     for step in range(4000):
