--- a/embersill/lab/levels/nodes.py
+++ b/embersill/lab/levels/nodes.py
@@ -196,21 +196,27 @@
             self.core.received(wire.session, batch, self.clock())
         except BadFrame:
             return wire.close(self)
+        self.note_lent(wire.forwarder.name, batch)
+        return self.flush()
+
+    def note_lent(self, forwarder: str, batch: Batch) -> None:
+        """A forwarder's loans are no longer on their way."""
         for message in batch.messages:
             if type(message) is Lend:
-                self.world.lending.difference_update((wire.forwarder.name, part) for part in message.parts)
-        return self.flush()
+                self.world.lending.difference_update((forwarder, part) for part in message.parts)
 
     def list_told(self, event: BackendList) -> None:
         self.core.list_told(event, self.clock())
         self.flush()
 
+    def set_timers(self) -> None:
+        timers, self.core.timers = self.core.timers, []
+        for delay, key in timers:
+            self.after(delay, self.timer_due, key, self.clock() + delay)
+
     def flush(self) -> None:
         core = self.core
-        if core.timers:
-            timers, core.timers = core.timers, []
-            for delay, key in timers:
-                self.after(delay, self.timer_due, key, self.clock() + delay)
+        self.set_timers()
         for wire in tuple(self.wires):
             session = wire.session
             if session is not None and (session.outbox or session.acked > session.acked_told):
@@ -326,11 +332,13 @@
             self.dial(stream.planner)
 
     def batch_came(self, wire: Wire, batch: Batch) -> None:
-        planner = wire.planner
+        self.heard(wire.planner.name, batch)
+
+    def heard(self, planner: str, batch: Batch) -> None:
         if self.world.detailed:
-            self.world.got(planner, self, batch.messages)
-        self.listening = planner.name
-        self.perform(self.core.received(planner.name, batch, self.clock()))
+            self.world.got(self.world.members[planner], self, batch.messages)
+        self.listening = planner
+        self.perform(self.core.received(planner, batch, self.clock()))
         self.listening = ""
         if self.core.withdrawn:
             withdrawn, self.core.withdrawn = self.core.withdrawn, []
@@ -378,13 +386,17 @@
             messages = outbox[name]
             if messages:
                 outbox[name] = []
-                for message in messages:
-                    if type(message) is Lend:
-                        self.world.lending.update((self.name, part) for part in message.parts)
-                if self.world.detailed:
-                    self.world.sent(self, wire.planner, messages)
+                self.note_said(name, messages)
                 wire.say(self, messages)
 
+    def note_said(self, planner: str, messages: list[AnyMessage]) -> None:
+        """Tells the world what goes out to a planner."""
+        for message in messages:
+            if type(message) is Lend:
+                self.world.lending.update((self.name, part) for part in message.parts)
+        if self.world.detailed:
+            self.world.sent(self, self.world.members[planner], messages)
+
     def take(
         self,
         number: int,
--- a/embersill/lab/levels/paths.py
+++ b/embersill/lab/levels/paths.py
@@ -12,7 +12,7 @@
 from embersill.interface import Action
 from embersill.lab.levels.nodes import MOST_FRAME, TICK, ForwarderNode, PlannerNode
 from embersill.tiers.links import ForwarderLine, PlannerTrunk, PlannerTrunks
-from embersill.tiers.messages import BadFrame, Batch, Lend
+from embersill.tiers.messages import AnyMessage, BadFrame, Batch
 from embersill.tiers.multipath import DIRECT
 from embersill.tiers.wire import MAGIC, NONCE, FrameReader, Proof, Stranger
 from embersill.world.kernel import Node
@@ -79,9 +79,12 @@
         if self.world.detailed:
             self.world.got(self.world.members[trunk.name], self.node, batch.messages)
         super().received(trunk, batch)
-        for message in batch.messages:
-            if type(message) is Lend:
-                self.world.lending.difference_update((trunk.name, part) for part in message.parts)
+        self.node.note_lent(trunk.name, batch)
+
+    def say(self, trunk: PlannerTrunk, messages: list[AnyMessage], basis: int, acked: int) -> None:
+        if self.world.detailed:
+            self.world.sent(self.node, self.world.members[trunk.name], messages)
+        super().say(trunk, messages, basis, acked)
 
 
 class PathedPlanner(Pathed, PlannerNode):
@@ -118,17 +121,8 @@
             stream.close(self)
 
     def flush(self) -> None:
-        if self.core.timers:
-            timers, self.core.timers = self.core.timers, []
-            for delay, key in timers:
-                self.after(delay, self.timer_due, key, self.clock() + delay)
-        for trunk in list(self.trunks().trunks.values()):
-            session = trunk.session
-            if session.outbox or session.acked > session.acked_told:
-                messages, basis, acked = self.core.said(session)
-                if self.world.detailed:
-                    self.world.sent(self, self.world.members[trunk.name], messages)
-                trunk.say(messages, basis, acked)
+        self.set_timers()
+        self.trunks().flush()
 
 
 class Host:
@@ -220,24 +214,10 @@
         line.leave(hop)
         self.dial_path(planner, hop.via)
 
-    def heard(self, planner: str, batch: Batch) -> None:
-        if self.world.detailed:
-            self.world.got(self.world.members[planner], self, batch.messages)
-        self.listening = planner
-        self.perform(self.core.received(planner, batch, self.clock()))
-        self.listening = ""
-        withdrawn, self.core.withdrawn = self.core.withdrawn, []
-        for backend in withdrawn:
-            self.call_back(backend)
-
     def flush(self) -> None:
         for name, line in self.lines.items():
             messages = self.core.outbox[name]
             if messages and line.token:
                 self.core.outbox[name] = []
-                for message in messages:
-                    if type(message) is Lend:
-                        self.world.lending.update((self.name, part) for part in message.parts)
-                if self.world.detailed:
-                    self.world.sent(self, self.world.members[name], messages)
+                self.note_said(name, messages)
                 line.trunk.say(messages)
--- a/embersill/tiers/links.py
+++ b/embersill/tiers/links.py
@@ -168,7 +168,10 @@
         for trunk in list(self.trunks.values()):
             session = trunk.session
             if session.outbox or session.acked > session.acked_told:
-                trunk.say(*self.core.said(session))
+                self.say(trunk, *self.core.said(session))
+
+    def say(self, trunk: PlannerTrunk, messages: list[AnyMessage], basis: int, acked: int) -> None:
+        trunk.say(messages, basis, acked)
 
 
 class PlannerLink(TakenProtocol):
