--- a/embersill/lab/levels/paths.py
+++ b/embersill/lab/levels/paths.py
@@ -31,8 +31,8 @@
         super().__init__(world.network, one, other)
         self.on_data: dict[Node, Callable[[bytes], None]] = {}
         self.on_over: dict[Node, Callable[[], None]] = {}
-        one.paths.add(self)
-        other.paths.add(self)
+        one.paths[self] = None
+        other.paths[self] = None
 
 
 class Hop:
@@ -51,7 +51,7 @@
 class Pathed(Node):
     """What both roles share."""
 
-    paths: set[PathStream]
+    paths: dict[PathStream, None]  # in the order of their beginning: a play repeats exactly
 
     def stream_data(self, stream: Stream, data: bytes) -> None:
         assert isinstance(stream, PathStream)
@@ -59,13 +59,13 @@
 
     def stream_over(self, stream: Stream) -> None:
         assert isinstance(stream, PathStream)
-        self.paths.discard(stream)
+        self.paths.pop(stream, None)
         stream.on_over[self]()
 
     def end_paths(self, quiet: bool) -> None:
         for stream in list(self.paths):
             stream.close(self, reset=not quiet)
-        self.paths = set()
+        self.paths = {}
 
 
 class Watched(PlannerTrunks):
@@ -91,7 +91,7 @@
     sessions: PlannerTrunks | None
 
     def start(self) -> None:
-        self.paths, self.sessions = set(), None
+        self.paths, self.sessions = {}, None
         super().start()
 
     def trunks(self) -> PlannerTrunks:
@@ -141,7 +141,7 @@
 
 class PathedForwarder(Pathed, ForwarderNode):
     def start(self) -> None:
-        self.paths = set()
+        self.paths = {}
         self.lines: dict[str, ForwarderLine] = {}
         super().start()
 
