--- a/embersill/control.py
+++ b/embersill/control.py
@@ -8,9 +8,10 @@
 from collections.abc import Callable
 
 from embersill.interface import (
-    Action, Allotted, AttemptEnded, Backend, BackendList, Cancel, ClientLeft, Configured, Count, Counted,
-    Event, Fail, Held, Inherited, ListKind, Outcome, Plan, Question, Refuse, Repeats, Request, RequestClass,
-    Ruled, Scope, Send, SetTimer, Settings, Shared, Status, StreamBegun, Subscribe, Take, TimerDue, Verdict,
+    Action, Allotted, AttemptEnded, Backend, BackendList, Borrow, Cancel, ClientLeft, Configured, Count,
+    Counted, Event, Fail, Held, Inherited, Lent, ListKind, Outcome, Plan, Question, Refuse, Repeats, Request,
+    RequestClass, Ruled, Scope, Send, SetTimer, Settings, Shared, Status, StreamBegun, Subscribe, Take,
+    TimerDue, Verdict,
 )
 from embersill.fleet import BLEND, Fleet
 from embersill.throttle import PERIOD, Charge, Throttle
@@ -18,6 +19,7 @@
 from embersill.work import EPS, WORST, Attempt, Job, Server, group_of
 
 HOLD_SHARE = 0.4  # of the aim that a request may wait for credit: the rest must do for the backend
+DRY_FOR = 0.2  # seconds after which a reserve that had nothing is asked again
 READING_LIFE = 2.5  # periods a reading decides the slice: outlives one lost call, not a silent counter
 DEMAND_BLEND = 0.5  # weight of the last period in the smoothed demand: a few requests a second make it jump
 NEED_SHARE = 0.8  # of the even slice asked for, or of the bank spent, from which a customer is worth counting
@@ -63,7 +65,7 @@
             Counted: self.counted, BackendList: self.list_changed, ClientLeft: self.client_left,
             StreamBegun: self.stream_begun, Allotted: self.allotted, Inherited: self.inherited,
             Question: self.question, Ruled: self.ruled, Held: self.take_out, Shared: self.share_ceilings,
-            Configured: self.configured,
+            Configured: self.configured, Lent: self.lent,
         }
         # part of the counted thin requests that had the credit, by plan and whether the slice covered them
         self.granted = {(p.name, sure): float(sure) for p in settings.plans for sure in (False, True)}
@@ -146,18 +148,40 @@
             throttle.level -= units if plan.rate > 0 else 0.0
             self.tell_later(job)
             return self.place(job)
+        borrows = self.turn.settings.borrows and plan.rate > 0 and self.turn.now >= throttle.dry_until
         # the buffer: as many units as the rate brings within the wait bound
         behind = throttle.wait(0.0 if throttle.queue else units)
         if throttle.plan.rate > 0:
             behind = max(behind, (min(units, throttle.bank) - throttle.level) / throttle.rate)
-        if behind > bound and not throttle.asking:
+        if behind > bound and not throttle.asking and not borrows:
             return self.overflow(job, behind)
         throttle.queue.append(job)
         throttle.held += units
         throttle.level -= units
+        if borrows and not throttle.asking:
+            self.borrow(throttle)
         self.release(throttle)
         self.turn.actions.append(SetTimer(max(bound, 1e-6), f"h{request.id}"))
 
+    def borrow(self, throttle: Throttle) -> None:
+        """Asks the reserve for what the buffer here waits for."""
+        throttle.asking = True
+        self.turn.actions.append(Borrow(throttle.customer, max(math.ceil(-throttle.level), 1.0)))
+
+    def lent(self, event: Lent) -> None:
+        """What the reserve gave goes to those that wait; what it lacks is waited for, or refused."""
+        throttle = self.throttles.get(event.customer)
+        if throttle is None or not throttle.asking:
+            return
+        throttle.asking = False
+        throttle.refill(self.turn.now)
+        throttle.level += event.units
+        if event.units < 1.0:
+            throttle.dry_until = self.turn.now + DRY_FOR
+        elif throttle.level < -EPS and throttle.queue:
+            return self.borrow(throttle)
+        return self.release(throttle)
+
     def drop_held(self, job: Job) -> None:
         throttle = job.throttle
         throttle.unhold(job)
@@ -184,7 +208,8 @@
         while throttle.queue and not throttle.asking:
             job = throttle.queue[0]
             wait = throttle.wait(job.request.units)
-            if job.ended or throttle.thin and self.turn.now + wait > job.hold_until + EPS:
+            strict = throttle.thin or self.turn.settings.borrows
+            if job.ended or strict and self.turn.now + wait > job.hold_until + EPS:
                 self.drop_held(job)
             elif throttle.has_open() and wait <= EPS:
                 throttle.unhold(job)
@@ -378,6 +403,7 @@
         throttle.read_until = self.turn.now + READING_LIFE * PERIOD
         quota = throttle.plan.rate
         room = (quota - throttle.total) / throttle.width
+        room *= self.turn.settings.room_part if room > 0 else 1.0
         rate = throttle.own + room if room >= 0 else quota * throttle.own / throttle.total
         throttle.set_share(max(rate / quota, LEAST_SLICE / throttle.width), self.turn.now)
         self.release(throttle)
--- a/embersill/edge/node.py
+++ b/embersill/edge/node.py
@@ -18,8 +18,9 @@
 from embersill.edge.document import EMPTY, State, read_document
 from embersill.edge.founding import Founding
 from embersill.edge.roll import Hello, Roll
-from embersill.edge.routes import Table
-from embersill.edge.sums import Sums
+from embersill.edge.ring import by_place
+from embersill.edge.routes import ROOM_PART, Table
+from embersill.edge.sums import WINDOW, Reserve, Sums
 from embersill.edge.verdict import Ran, Verdict, done, refused
 
 FETCH_AGAIN = 0.4  # seconds after which a document that did not come is asked for elsewhere
@@ -48,7 +49,8 @@
         self.cell = Cell(hello, self.roll, self.effects, beat_every)
         self.cell.on_news = self.news
         self.founding = Founding(hello, self.roll, self.agreement, now)
-        self.sums = Sums()
+        self.sums, self.reserve = Sums(), Reserve()
+        self.overshoot, self.slack = 0.0, 0.0  # what the deployment's bound allows above a quota: part, units
         self.state: State = EMPTY
         self.table: Table | None = None
         self.newest: dict[str, int] = {}  # versions that peers have, as they told
@@ -58,6 +60,7 @@
         self.waiting: list[tuple[float, int, Callable[[], None]]] = []  # changes, until gateways have them
         self.on_table: Callable[[Table], None] = lambda table: None
         self.on_instances: Callable[[list[Any]], None] = lambda news: None
+        self.on_lent: Callable[[dict[str, float]], None] = lambda lent: None
         self.on_totals: Callable[[dict[str, float]], None] = lambda totals: None
         self.agreement.load(stored)
         if self.agreement.roster is not None:
@@ -116,6 +119,11 @@
             self.sums.tell(peer, {str(k): float(v) for k, v in message["use"].items()}, self.now)
         elif kind == "totals":
             self.effects.mail.append((peer, {"kind": "totalled", "totals": self.totals(message["names"])}))
+        elif kind == "borrow":
+            lent = self.lend({str(k): float(v) for k, v in message["units"].items()})
+            self.effects.mail.append((peer, {"kind": "lent", "units": lent}))
+        elif kind == "lent":
+            self.on_lent({str(k): float(v) for k, v in message["units"].items()})
         elif kind == "totalled":
             self.on_totals({str(k): float(v) for k, v in message["totals"].items()})
         elif kind == "call":
@@ -248,6 +256,26 @@
                 tenant, rates[tenant].get("rate_per_s", 0.0), self.roll.count, silent, self.now)
             for tenant in tenants if tenant in rates}
 
+    def lend(self, asked: dict[str, float]) -> dict[str, float]:
+        """What this gateway's reserves give; another one's tenants get nothing here."""
+        tenants = self.table.document.get("tenants", {}) if self.table is not None else {}
+        lent = {}
+        for tenant, units in asked.items():
+            quota = tenants.get(tenant, {"api_keys": []})
+            rate, burst = quota.get("rate_per_s", 0.0), quota.get("burst_size", 0.0)
+            if self.summing(tenant)[:1] != [self.me.name] or not rate:
+                lent[tenant] = 0.0
+                continue
+            total = self.totals([tenant])[tenant]
+            slack = self.overshoot * (WINDOW * rate + burst) + self.slack
+            lent[tenant] = self.reserve.lend(tenant, units, rate, burst, total, ROOM_PART, slack, self.now)
+        return lent
+
+    def summing(self, tenant: str) -> list[str]:
+        """The members of the core that sum a tenant's demand; the first one has its reserve."""
+        roster = self.agreement.roster
+        return by_place(tenant, roster.members)[:SUMMED_BY] if roster is not None else []
+
     # news
 
     def news(self, news: list[Any]) -> None:
--- a/embersill/edge/sums.py
+++ b/embersill/edge/sums.py
@@ -11,6 +11,34 @@
 
 FRESH = 1.6  # seconds that a word stands: told each second, one may come late
 MOST_TENANTS = 20000
+WINDOW = 5.0  # seconds over which what is above a quota is spread
+
+
+RESERVE_DEPTH = 0.35  # of what the bound allows above a quota, that a reserve may hold
+RESERVE_FLOW = 0.25  # and that may flow into it in a window
+
+
+class Reserve:
+    """What a tenant's slices leave of its quota, lent unit by unit to gateways whose slice is too thin.
+
+    Slices take the demand and a part of the room under the quota; the rest of the room flows in here, with a
+    part of what the bound allows on top. It begins empty, and at one gateway only: a second one would double it.
+    """
+
+    def __init__(self) -> None:
+        self.levels: dict[str, tuple[float, float]] = {}  # tenant: units, when
+
+    def lend(self, tenant: str, asked: float, rate: float, burst: float, total: float, room_part: float,
+             slack: float, now: float) -> float:
+        """Whole units of those asked for. `total`: the demand; `slack`: units that the bound allows above."""
+        free = max(rate - total, 0.0) * (1.0 - room_part)
+        depth = burst * free / rate + RESERVE_DEPTH * slack if rate > 0 else 0.0
+        level, stamp = self.levels.get(tenant, (0.0, now))
+        flow = free + RESERVE_FLOW * slack / WINDOW
+        level = min(level + flow * max(now - stamp, 0.0), depth)
+        lent = float(max(min(int(level + 1e-9), int(asked)), 0))
+        self.levels[tenant] = level - lent, now
+        return lent
 
 
 class Sums:
--- a/embersill/interface.py
+++ b/embersill/interface.py
@@ -120,6 +120,8 @@
     retry_share: float = 0.15  # further ones earned by each first one: bounds what they add in a bad hour
     counts_all: bool = False  # each customer's demand is told, however far from its quota
     banks_from: float = 1.0  # part of its bank that a throttle begins with
+    borrows: bool = False  # what a slice lacks may be had of a reserve that all gateways share
+    room_part: float = 1.0  # of the room under a quota that is split evenly; the reserve has the rest
 
 
 @dataclass(frozen=True, slots=True)
@@ -279,6 +281,14 @@
     out: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Lent:
+    """What a reserve gave of the units that were asked for."""
+
+    customer: str
+    units: float
+
+
 @dataclass(frozen=True, slots=True)
 class Configured:
     """Classes, plans and gateways are these from now on; what is under way keeps its class."""
@@ -295,7 +305,7 @@
 
 Event = (
     Request | BackendList | ClientLeft | StreamBegun | AttemptEnded | Counted | Probed | TimerDue | Allotted
-    | Inherited | Question | Ruled | Held | Shared | Configured
+    | Inherited | Question | Ruled | Held | Shared | Configured | Lent
 )
 
 
@@ -358,6 +368,14 @@
     call: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class Borrow:
+    """Ask the customer's reserve for units that its slice here lacks; Lent tells what came of it."""
+
+    customer: str
+    units: float
+
+
 @dataclass(frozen=True, slots=True)
 class Subscribe:
     """Ask discovery for the list and its changes from now on."""
@@ -382,4 +400,4 @@
     states: tuple[LimitState, ...]
 
 
-Action = Verdict | Send | Refuse | Fail | Cancel | SetTimer | Count | Subscribe
+Action = Verdict | Send | Refuse | Fail | Cancel | SetTimer | Count | Subscribe | Borrow
--- a/embersill/net/driver.py
+++ b/embersill/net/driver.py
@@ -14,8 +14,8 @@
 from typing import TYPE_CHECKING, Protocol
 
 from embersill.interface import (
-    Action, AttemptEnded, Backend, BackendList, Cancel, ClientLeft, Count, Counted, Event, Fail, Held,
-    Outcome, Refuse, Request, Send, SetTimer, Settings, Status, StreamBegun, TimerDue,
+    Action, AttemptEnded, Backend, BackendList, Borrow, Cancel, ClientLeft, Count, Counted, Event, Fail, Held,
+    Lent, Outcome, Refuse, Request, Send, SetTimer, Settings, Status, StreamBegun, TimerDue,
 )
 from embersill.net.backends import Answer, Attempt, BackendConnection, Pool, Sink
 from embersill.net.deadlines import Deadline
@@ -118,6 +118,7 @@
         self.gateway, self.clock, self.pool = gateway, clock, pool
         self.most_units = gateway.settings.most_units
         self.counter: Counts | None = None
+        self.reserve: Callable[[Borrow], None] | None = None  # `post` hears what it lends
         self.busy = 429  # the status of a refusal that is not for the customer's quota
         self.loop = asyncio.get_running_loop()
         self.deadlines = pool.deadlines
@@ -133,7 +134,7 @@
         self.handling = False
         self.carry: dict[type, Callable[..., None]] = {
             Send: self.send, SetTimer: self.set_timer, Refuse: self.refuse, Fail: self.fail,
-            Cancel: self.cancel, Count: self.count,
+            Cancel: self.cancel, Count: self.count, Borrow: self.borrow,
         }
 
     # what happened
@@ -196,7 +197,7 @@
         self.post(held)
         self.pool.rest_line(held.backend)
 
-    def counter_told(self, counted: Counted) -> None:
+    def counter_told(self, counted: Counted | Lent) -> None:
         self.post(counted)
 
     def timer_due(self, key: str, due: float) -> None:
@@ -313,6 +314,11 @@
             return self.post(Counted(action.name, Outcome.NO_CONNECTION, 0.0, 0.0))
         return self.counter.count(action)
 
+    def borrow(self, action: Borrow) -> None:
+        if self.reserve is None:
+            return self.post(Lent(action.customer, 0.0))
+        return self.reserve(action)
+
     # final answers
 
     def finish_number(self, number: int, status: int, body: bytes = b"", headers: bytes = b"") -> None:
