The control plane is tested on a simulated network; members that are gone are left out

Cause (by the new tests): a core machine exchanged for another left four members, one of them gone for ever, since only members that had been linked here were missed. Found by seeded runs of kills, cuts, wipes, refusing disks and exchanged members, rules checked after each step.

--- a/embersill/control.py
+++ b/embersill/control.py
@@ -8,8 +8,8 @@
 from collections.abc import Callable
 
 from embersill.interface import (
-    Action, Allotted, AttemptEnded, Backend, BackendList, Borrow, Cancel, ClientLeft, Configured, Count,
-    Counted, Event, Fail, Held, Inherited, Lent, ListKind, Outcome, Plan, Question, Refuse, Repeats, Request,
+    Action, Allotted, AttemptEnded, Backend, BackendList, Cancel, ClientLeft, Count,
+    Counted, Event, Fail, Held, Inherited, ListKind, Outcome, Plan, Question, Refuse, Repeats, Request,
     RequestClass, Ruled, Scope, Send, SetTimer, Settings, Shared, Status, StreamBegun, Subscribe, Take,
     TimerDue, Verdict,
 )
@@ -19,7 +19,6 @@
 from embersill.work import EPS, WORST, Attempt, Job, Server, group_of
 
 HOLD_SHARE = 0.4  # of the aim that a request may wait for credit: the rest must do for the backend
-DRY_FOR = 0.2  # seconds after which a reserve that had nothing is asked again
 READING_LIFE = 2.5  # periods a reading decides the slice: outlives one lost call, not a silent counter
 DEMAND_BLEND = 0.5  # weight of the last period in the smoothed demand: a few requests a second make it jump
 NEED_SHARE = 0.8  # of the even slice asked for, or of the bank spent, from which a customer is worth counting
@@ -41,6 +40,8 @@
 class Gateway:
     """Decides for one gateway, on its settings and the events that it is given, and on nothing else."""
 
+    strict = False  # what can't be had within the wait bound is turned away as soon as that is known
+
     def __init__(self, settings: Settings, seed: int, now: float, repays: bool = False) -> None:
         """`repays`: what was sent on beyond a quota unknown to the others is taken from it afterwards."""
         check(settings)
@@ -65,7 +66,6 @@
             Counted: self.counted, BackendList: self.list_changed, ClientLeft: self.client_left,
             StreamBegun: self.stream_begun, Allotted: self.allotted, Inherited: self.inherited,
             Question: self.question, Ruled: self.ruled, Held: self.take_out, Shared: self.share_ceilings,
-            Configured: self.configured, Lent: self.lent,
         }
         # part of the counted thin requests that had the credit, by plan and whether the slice covered them
         self.granted = {(p.name, sure): float(sure) for p in settings.plans for sure in (False, True)}
@@ -83,31 +83,16 @@
     def settings(self) -> Settings:
         return self.turn.settings
 
+    def new_fleet(self) -> Fleet:
+        return Fleet(self.turn, self.may_send)
+
     def fleet(self, service: str) -> Fleet:
         """The backends of a service, made as it is first named."""
         fleet = self.fleets.get(service)
         if fleet is None:
-            fleet = self.fleets[service] = Fleet(self.turn, self.may_send)
+            fleet = self.fleets[service] = self.new_fleet()
         return fleet
 
-    def configured(self, event: Configured) -> None:
-        """Takes over classes and plans; a throttle goes on with its level under its plan's new figures."""
-        settings = self.turn.settings = event.settings
-        self.classes = {c.name: c for c in settings.classes}
-        self.plans = {p.name: p for p in settings.plans}
-        for klass in settings.classes:
-            self.late.setdefault(klass.name, deque())
-        for plan in settings.plans:
-            for sure in (False, True):
-                self.granted.setdefault((plan.name, sure), float(sure))
-        for fleet in self.fleets.values():
-            fleet.resettle()
-        for throttle in self.throttles.values():
-            plan = self.plans.get(throttle.plan.name, throttle.plan)
-            if throttle.plan != plan or throttle.width != settings.gateways:
-                throttle.change(plan, settings.gateways, self.turn.now)
-                self.release(throttle)
-
     def stream_begun(self, event: StreamBegun) -> None:
         """The answer is on its way to the client: nothing else ends the request, and it is late no more."""
         job = self.jobs.get(event.request)
@@ -148,7 +133,7 @@
             throttle.level -= units if plan.rate > 0 else 0.0
             self.tell_later(job)
             return self.place(job)
-        borrows = self.turn.settings.borrows and plan.rate > 0 and self.turn.now >= throttle.dry_until
+        borrows = self.may_borrow(throttle)
         # the buffer: as many units as the rate brings within the wait bound
         behind = throttle.wait(0.0 if throttle.queue else units)
         if throttle.plan.rate > 0:
@@ -158,29 +143,17 @@
         throttle.queue.append(job)
         throttle.held += units
         throttle.level -= units
-        if borrows and not throttle.asking:
+        if borrows:
             self.borrow(throttle)
         self.release(throttle)
         self.turn.actions.append(SetTimer(max(bound, 1e-6), f"h{request.id}"))
 
-    def borrow(self, throttle: Throttle) -> None:
-        """Asks the reserve for what the buffer here waits for."""
-        throttle.asking = True
-        self.turn.actions.append(Borrow(throttle.customer, max(math.ceil(-throttle.level), 1.0)))
+    def may_borrow(self, throttle: Throttle) -> bool:
+        """True where others may have what a slice lacks: not here, where it is a quota's whole part."""
+        return False
 
-    def lent(self, event: Lent) -> None:
-        """What the reserve gave goes to those that wait; what it lacks is waited for, or refused."""
-        throttle = self.throttles.get(event.customer)
-        if throttle is None or not throttle.asking:
-            return
-        throttle.asking = False
-        throttle.refill(self.turn.now)
-        throttle.level += event.units
-        if event.units < 1.0:
-            throttle.dry_until = self.turn.now + DRY_FOR
-        elif throttle.level < -EPS and throttle.queue:
-            return self.borrow(throttle)
-        return self.release(throttle)
+    def borrow(self, throttle: Throttle) -> None:
+        """Asks for what the buffer here waits for."""
 
     def drop_held(self, job: Job) -> None:
         throttle = job.throttle
@@ -208,8 +181,7 @@
         while throttle.queue and not throttle.asking:
             job = throttle.queue[0]
             wait = throttle.wait(job.request.units)
-            strict = throttle.thin or self.turn.settings.borrows
-            if job.ended or strict and self.turn.now + wait > job.hold_until + EPS:
+            if job.ended or (throttle.thin or self.strict) and self.turn.now + wait > job.hold_until + EPS:
                 self.drop_held(job)
             elif throttle.has_open() and wait <= EPS:
                 throttle.unhold(job)
--- /dev/null
+++ b/embersill/edge/deciding.py
@@ -0,0 +1,135 @@
+"""The decisions of a gateway of the system: those of the program in service, where backends tell their load.
+
+Admission, attempts and answers are `Gateway`'s. What is added: backends tell their slots and load, slices
+borrow from a reserve, the configuration changes, and a request that no backend ran is not charged.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+
+from embersill.control import Gateway
+from embersill.fleet import Fleet
+from embersill.interface import Backend, Borrow, Configured, Lent, Settings
+from embersill.throttle import Throttle
+from embersill.work import EPS, Job, Server
+
+DRAWN = 5  # backends looked at in the zone, and so many anywhere
+FAR = 0.1  # of the aim that a backend of another zone has to be sooner by
+LEAST_OUT = 2.0  # attempts that may always be out at a backend from here
+DRY_FOR = 0.2  # seconds after which a reserve that had nothing is asked again
+
+
+class LoadedFleet(Fleet):
+    """A service whose backends tell how much they have to do."""
+
+    def new_server(self, backend: Backend) -> Server:
+        start = (backend.slots + DRAWN) / self.turn.settings.gateways**0.5
+        return Server(backend, max(LEAST_OUT, start), self.turn.now)
+
+    def choose(self, job: Job) -> Server | None:
+        """The best of a few that are drawn, by the work that each still has.
+
+        All gateways see the same loads, so that the best of all would be everybody's at once.
+        """
+        usual = self.usual_for(job)
+        chance, order, zone = self.turn.random, self.order, self.turn.settings.zone
+        here = [s for s in order if s.backend.zone == zone]
+        drawn = chance.sample(here, min(DRAWN, len(here)))
+        drawn += chance.sample(order, min(DRAWN, len(order)))
+        best, least = None, 0.0
+        for server in drawn:
+            if not self.may_send(job, server):
+                continue
+            cost = self.cost_by_load(job, server, usual)
+            if best is None or cost < least:
+                best, least = server, cost
+        return best or next((s for s in order if self.may_send(job, s)), None)
+
+    def cost_by_load(self, job: Job, server: Server, usual: float) -> float:
+        """Seconds that a request would take there, and what speaks against the backend as if it were time."""
+        now, slots = self.turn.now, max(server.backend.slots, 1)
+        work = server.work(now)
+        ahead = max(work + 1.0 - slots, 0.0) / slots + 0.25 * work / slots
+        slow = self.kinds.get(server.backend.kind, 1.0) * (1.0 + ahead)
+        if not server.warm:
+            slow /= max(server.cold_share(now, self.turn.settings), 0.1)
+        server.fade(now)
+        held = server.bad + server.overdue
+        if job.attempts:
+            held += sum(1 for a in job.attempts if a.server is server)
+        if server.full:
+            held += server.is_full((job.klass.name, job.throttle.plan.name), now)
+        if server.backend.zone != self.turn.settings.zone:
+            held += FAR
+        return usual * slow + held * job.klass.aim
+
+    def resettle(self) -> None:
+        """The settings have changed: a smaller part of further attempts holds at once."""
+        if self.budgeted:
+            self.most_credit = self.turn.settings.retry_store
+            self.retry_credit = min(self.retry_credit, self.most_credit)
+
+
+class EdgeGateway(Gateway):
+    """Decides for one gateway of the system."""
+
+    strict = True
+
+    def __init__(self, settings: Settings, seed: int, now: float) -> None:
+        super().__init__(settings, seed, now)
+        self.handlers |= {Configured: self.configured, Lent: self.lent}
+
+    def new_fleet(self) -> Fleet:
+        return LoadedFleet(self.turn, self.may_send)
+
+    def configured(self, event: Configured) -> None:
+        """Takes over classes and plans; a throttle goes on with its level under its plan's new figures."""
+        settings = self.turn.settings = event.settings
+        self.classes = {c.name: c for c in settings.classes}
+        self.plans = {p.name: p for p in settings.plans}
+        for klass in settings.classes:
+            self.late.setdefault(klass.name, deque())
+        for plan in settings.plans:
+            for sure in (False, True):
+                self.granted.setdefault((plan.name, sure), float(sure))
+        for fleet in self.fleets.values():
+            if isinstance(fleet, LoadedFleet):
+                fleet.resettle()
+        for throttle in self.throttles.values():
+            plan = self.plans.get(throttle.plan.name, throttle.plan)
+            if throttle.plan != plan or throttle.width != settings.gateways:
+                throttle.change(plan, settings.gateways, self.turn.now)
+                self.release(throttle)
+
+    def answer(self, job: Job, retry_after: float, over_quota: bool = False) -> None:
+        """A request that came to backends and that none of them ran has used nothing of its quota."""
+        throttle = job.throttle
+        if not job.ended and job.attempts and job.risky is None and not job.beyond:
+            throttle.refill(self.turn.now)
+            most = max(throttle.bank - throttle.held, throttle.level)
+            throttle.level = min(throttle.level + job.request.units, most)
+        super().answer(job, retry_after, over_quota)
+
+    def may_borrow(self, throttle: Throttle) -> bool:
+        return throttle.plan.rate > 0 and not throttle.asking and self.turn.now >= throttle.dry_until
+
+    def borrow(self, throttle: Throttle) -> None:
+        """Asks the reserve for what the buffer here waits for."""
+        throttle.asking = True
+        self.turn.actions.append(Borrow(throttle.customer, max(math.ceil(-throttle.level), 1.0)))
+
+    def lent(self, event: Lent) -> None:
+        """What the reserve gave goes to those that wait; what it lacks is waited for, or refused."""
+        throttle = self.throttles.get(event.customer)
+        if throttle is None or not throttle.asking:
+            return
+        throttle.asking = False
+        throttle.refill(self.turn.now)
+        throttle.level += event.units
+        if event.units < 1.0:
+            throttle.dry_until = self.turn.now + DRY_FOR
+        elif throttle.level < -EPS and throttle.queue:
+            return self.borrow(throttle)
+        return self.release(throttle)
--- a/embersill/edge/founding.py
+++ b/embersill/edge/founding.py
@@ -14,6 +14,7 @@
 SETTLED = 1.0  # seconds without a further core machine after which the first epoch is founded
 AT_LATEST = 4.0  # seconds after which it is founded with those that are there
 GONE_AFTER = 2.5  # seconds without a link from which a newcomer may take a member's place
+LEFT_OUT_AFTER = 6.0  # from which one is left out without another in its place, if there are members enough
 RESEAT_EVERY = 1.0  # seconds between attempts
 
 
@@ -23,9 +24,12 @@
 
 class Founding:
     def __init__(self, me: Hello, roll: Roll, agreement: Agreement, now: float) -> None:
+        """`least`: members without which the losses that are to be borne could not be."""
+        self.least = 3
         self.me, self.roll, self.agreement = me, roll, agreement
         self.born = self.last = now
         self.found = 0
+        self.missing: dict[str, float] = {}  # members that are not linked, since when
         self.again_at = now
 
     def tick(self, now: float) -> None:
@@ -62,19 +66,19 @@
         """Seats a core machine that is no member yet, in the place of one that is gone if there is one."""
         roster = self.agreement.roster
         assert roster is not None
-        there = [name for name in roster.members if name in self.roll.linked or name == self.me.name]
+        there = self.roll.core
+        self.missing = {name: self.missing.get(name, now) for name in roster.members if name not in there}
         if self.me.name != min(there):
             return
         newcomers = [hello for hello in self.roll.cores() if hello.name not in roster.members]
         newcomers.sort(key=lambda hello: hello.name)
-        gone = sorted((self.roll.away[name], name) for name in roster.members
-                      if name in self.roll.away and now - self.roll.away[name] >= GONE_AFTER)
-        if not newcomers:
-            return
-        self.again_at = now + RESEAT_EVERY
-        one = newcomers[0]
+        gone = sorted((since, name) for name, since in self.missing.items() if now - since >= GONE_AFTER)
         members = dict(roster.members)
-        if gone:
+        if gone and newcomers or (
+                gone and len(members) > self.least and now - gone[0][0] >= LEFT_OUT_AFTER):
             del members[gone[0][1]]
-        members[one.name] = Seat(one.ip, one.store)
-        self.agreement.reseat(members)
+        if newcomers:
+            members[newcomers[0].name] = Seat(newcomers[0].ip, newcomers[0].store)
+        if members != roster.members:
+            self.again_at = now + RESEAT_EVERY
+            self.agreement.reseat(members)
--- a/embersill/edge/program.py
+++ b/embersill/edge/program.py
@@ -14,8 +14,8 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from embersill.control import Gateway
 from embersill.edge.agreement import Save, Stored
+from embersill.edge.deciding import EdgeGateway
 from embersill.edge.dialect import EdgeDialect
 from embersill.edge.doors import ControlDesk, FrontDesk, ReadyDesk
 from embersill.edge.instances import GONE, Instance
@@ -67,6 +67,8 @@
             stored.store, f"{self.chance.getrandbits(48):012x}", first=local["first_start"],
             seed=local["ip_address"] in seeds)
         self.node = Node(hello, seeds, stored, self.chance, now, local.get("heartbeat_interval_s", 1.0))
+        borne = local.get("fault_tolerance", {"machine_failures": 1})["machine_failures"]
+        self.node.founding.least = 2 * borne + 1
         self.node.on_table, self.node.on_instances = self.table_came, self.instances_came
         self.count = 1
         descriptors = int(local["limits"]["file_descriptors"]) - FILES - OWN
@@ -74,7 +76,7 @@
         dialect = EdgeDialect(self.misdirected)
         self.pool = Pool(self.clock, DIAL_WITHIN, KEPT, max(descriptors - clients, 16), dialect)
         self.pool.pass_long_answers()
-        gateway = Gateway(self.settings(), seed, now)
+        gateway = EdgeGateway(self.settings(), seed, now)
         self.driver = Driver(gateway, self.clock, self.pool)
         self.driver.busy = 503
         self.tally = Tally(self.node, self.clock, self.driver.counter_told)
@@ -132,7 +134,7 @@
 
     def known_start(self, name: str) -> float | None:
         gateway = self.driver.gateway
-        server = gateway.servers.get(name) if isinstance(gateway, Gateway) else None
+        server = gateway.servers.get(name) if isinstance(gateway, EdgeGateway) else None
         return server.backend.started if server is not None else None
 
     def misdirected(self, backend: str) -> None:
--- a/embersill/edge/routes.py
+++ b/embersill/edge/routes.py
@@ -92,7 +92,7 @@
         warm_within=WARM_WITHIN, fall_multiple=3.0, overload_for=0.0, report_fields=(), most_units=0.0,
         settles=False, late_at=LATE_AT, retry_store=slack * SLACK_PART / gateways,
         retry_share=ratio * RATIO_PART, counts_all=True, banks_from=1.0 if fresh else 0.0,
-        borrows=True, room_part=ROOM_PART,
+        room_part=ROOM_PART,
     )
 
 
--- a/embersill/edge/sums.py
+++ b/embersill/edge/sums.py
@@ -22,7 +22,7 @@
     """What a tenant's slices leave of its quota, lent unit by unit to gateways whose slice is too thin.
 
     Slices take the demand and a part of the room under the quota; the rest of the room flows in here, with a
-    part of what the bound allows on top. It begins empty, and at one gateway only: a second one would double it.
+    part of what the bound allows on top. It begins empty, and is at one gateway only: two would lend twice.
     """
 
     def __init__(self) -> None:
--- a/embersill/fleet.py
+++ b/embersill/fleet.py
@@ -34,9 +34,6 @@
 RETRY_STORE = 10.0  # further attempts that may be saved up: enough for one backend's sudden end
 CHOICES = 2  # candidates drawn for each send: two see the load, and more would herd on one gateway's view
 DRAWS = 8  # draws for these: with half of the fleet unfit one in 256 fails, and a scan is made
-FULLER = 5  # candidates where backends tell their load and slots: that is seen by all gateways alike
-FAR = 0.1  # of the aim that a backend of another zone has to be sooner by, where load is told
-LOAD_LIFE = 0.3  # seconds in which half of what a backend told of its load has become another's
 
 
 class Fleet:
@@ -65,12 +62,6 @@
         self.passed, self.judged = 1.0, turn.now
         self.flight, self.limit = 0, float("inf")  # attempts out and not late, and how many may be
 
-    def resettle(self) -> None:
-        """The settings have changed: a smaller part of further attempts holds at once."""
-        if self.budgeted:
-            self.most_credit = self.turn.settings.retry_store
-            self.retry_credit = min(self.retry_credit, self.most_credit)
-
     def usual_for(self, job: Job) -> float:
         """Seconds such a request takes on the fleet."""
         fallback = self.usual.get((job.klass.name, 0.0), job.klass.aim / 8)
@@ -86,8 +77,6 @@
             pool = [s for s in self.order if group_of(job.klass, s) == group]
         best, least, found = None, 0.0, 0
         usual, self.drawn = self.usual_for(job), None
-        if self.order and self.order[0].backend.slots:
-            return self.choose_by_load(job, usual)
         if self.near_cold and pool is self.near and self.turn.random.random() < self.cold_draws:
             server = self.near_cold[int(self.turn.random.random() * len(self.near_cold))]
             if self.turn.random.random() < self.cold_chance(server):
@@ -116,42 +105,6 @@
         slow = self.kinds.get(server.backend.kind, 1.0) * (server.flight + 1.0)
         return usual * slow + held * job.klass.aim
 
-    def choose_by_load(self, job: Job, usual: float) -> Server | None:
-        """Where backends tell their load: the best of a few that are drawn, each to the work it still has.
-
-        All gateways see the same loads, so that the best of all would be everybody's at once.
-        """
-        chance, order, zone = self.turn.random, self.order, self.turn.settings.zone
-        here = [s for s in order if s.backend.zone == zone]
-        drawn = chance.sample(here, min(FULLER, len(here)))
-        drawn += chance.sample(order, min(FULLER, len(order)))
-        best, least = None, 0.0
-        for server in drawn:
-            if not self.may_send(job, server):
-                continue
-            cost = self.cost_by_load(job, server, usual)
-            if best is None or cost < least:
-                best, least = server, cost
-        return best or next((s for s in order if self.may_send(job, s)), None)
-
-    def cost_by_load(self, job: Job, server: Server, usual: float) -> float:
-        """Seconds that a request would take there, and what speaks against the backend as if it were time."""
-        now, slots = self.turn.now, server.backend.slots
-        work = server.work(now)
-        ahead = max(work + 1.0 - slots, 0.0) / slots + 0.25 * work / slots
-        slow = self.kinds.get(server.backend.kind, 1.0) * (1.0 + ahead)
-        if not server.warm:
-            slow /= max(server.cold_share(now, self.turn.settings), 0.1)
-        server.fade(now)
-        held = server.bad + server.overdue
-        if job.attempts:
-            held += sum(1 for a in job.attempts if a.server is server)
-        if server.full:
-            held += server.is_full((job.klass.name, job.throttle.plan.name), now)
-        if server.backend.zone != self.turn.settings.zone:
-            held += FAR
-        return usual * slow + held * job.klass.aim
-
     def cold_chance(self, server: Server) -> float:
         """The part kept of draws that fall on a cold backend, alike at all gateways: of a warm one's work."""
         part = min(1.0, self.turn.settings.fall_multiple * COLD_PART)
@@ -215,9 +168,7 @@
 
     def new_server(self, backend: Backend) -> Server:
         """What is known of a backend that is seen for the first time."""
-        slots, gateways = backend.slots, self.turn.settings.gateways
-        start = START_LIMIT / gateways if not slots else (slots + FULLER) / gateways**0.5
-        return Server(backend, max(1.0 if not slots else 2.0, start), self.turn.now)
+        return Server(backend, max(1.0, START_LIMIT / self.turn.settings.gateways), self.turn.now)
 
     def learn(self, job: Job, attempt: Attempt, event: AttemptEnded) -> None:
         server, outcome = attempt.server, event.outcome
--- a/embersill/interface.py
+++ b/embersill/interface.py
@@ -120,8 +120,7 @@
     retry_share: float = 0.15  # further ones earned by each first one: bounds what they add in a bad hour
     counts_all: bool = False  # each customer's demand is told, however far from its quota
     banks_from: float = 1.0  # part of its bank that a throttle begins with
-    borrows: bool = False  # what a slice lacks may be had of a reserve that all gateways share
-    room_part: float = 1.0  # of the room under a quota that is split evenly; the reserve has the rest
+    room_part: float = 1.0  # of the room under a quota that is split evenly; a reserve has the rest
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/edge/test_system.py
@@ -0,0 +1,191 @@
+"""Seeded random runs of the whole control plane on a simulated network; rules are checked after each step."""
+
+from __future__ import annotations
+
+import pytest
+
+from embersill.edge.verdict import Verdict
+from tests.edge.world import Fleet, Machine, change
+
+
+def beat(state: str = "ready", sequence: int = 1, zone: str = "a") -> dict[str, object]:
+    return {"id": "i-1", "service": "s", "address": "10.1.0.1:80", "zone": zone, "capacity_slots": 2,
+            "state": state, "call_sequence": sequence}
+
+
+def founded(seed: int, cores: int = 3, others: int = 2) -> Fleet:
+    fleet = Fleet(seed, cores, others)
+    fleet.run(3.0)
+    heard = fleet.machines[-1].call("PUT", change(1, 0))
+    fleet.run(1.0)
+    assert [verdict.status for verdict in heard] == [200]
+    fleet.settled()
+    return fleet
+
+
+def until_taken(fleet: Fleet, body: dict[str, object], tries: int = 30) -> int:
+    """An operator who goes from gateway to gateway until the change has its clear answer; its status."""
+    for number in range(tries):
+        machine = fleet.machines[number % len(fleet.machines)]
+        heard = machine.call("PUT", body)
+        fleet.run(1.0)
+        if heard and heard[0].status in (200, 400, 412):
+            return heard[0].status
+    raise AssertionError("no clear answer")
+
+
+def test_a_change_comes_to_every_gateway_and_is_answered_again_as_it_was() -> None:
+    fleet = founded(1)
+    assert all(m.node is not None and m.node.state["version"] == 1 for m in fleet.machines)
+    assert until_taken(fleet, change(1, 0)) == 200
+    assert until_taken(fleet, change(1, 0, routes=2)) == 412
+    assert until_taken(fleet, change(1, 1)) == 400  # not above the current one
+    read = fleet.machines[-1].call("GET", {})
+    fleet.run(1.0)
+    assert read[0].body["version"] == "00000001" and "based_on_version" not in read[0].body
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_of_two_changes_on_the_same_version_one_is_taken(seed: int) -> None:
+    fleet = founded(seed)
+    for version in range(2, 6):
+        base = fleet.machines[0].node.state["version"]  # type: ignore[union-attr]
+        calls = [fleet.machines[(seed + n) % 5].call("PUT", change(10 * version + n, base)) for n in (0, 1, 2)]
+        fleet.run(1.2)
+        taken = [heard for heard in calls if heard and heard[0].status == 200]
+        assert len(taken) <= 1
+        fleet.settled()
+    assert fleet.machines[0].node.state["version"] > 1  # type: ignore[union-attr]
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_what_was_acknowledged_outlives_kills_cuts_wipes_and_exchanged_members(seed: int) -> None:
+    """Random troubles of the core, one member lost at a time, with changes going on; then calm."""
+    fleet = founded(seed, 3, 2)
+    chance, acknowledged, version = fleet.kernel.stream("troubles"), 1, 1
+    wiped_at = -100.0
+    for _ in range(12):
+        victim = fleet.machines[chance.randrange(3)]
+        trouble = chance.choice(("kill", "cut", "wipe", "all", "refuse", "one way", "none"))
+        if trouble == "kill":
+            victim.kill()
+        elif trouble == "cut":
+            fleet.cut({victim.name})
+        elif trouble == "one way":
+            fleet.cut_off[victim.name] = {fleet.machines[chance.randrange(5)].name}
+        elif trouble == "wipe" and fleet.kernel.now - wiped_at > 8.0:
+            wiped_at = fleet.kernel.now
+            victim.wipe()
+        elif trouble == "all":
+            for machine in fleet.machines[:3]:
+                machine.kill()
+        elif trouble == "refuse":
+            victim.disk_refuses = True
+        version += chance.randrange(1, 4)
+        base = max(m.node.state["version"] for m in fleet.machines if m.node is not None)
+        heard = fleet.machines[chance.randrange(5)].call("PUT", change(version, base))
+        fleet.run(chance.uniform(0.02, 1.5))
+        for machine in fleet.machines:
+            machine.disk_refuses = False
+            if machine.node is None:
+                machine.start()
+        if chance.random() < 0.7:
+            fleet.heal()
+        fleet.run(chance.uniform(0.5, 2.0))
+        if heard and heard[0].status == 200:
+            acknowledged = max(acknowledged, version)
+    fleet.heal()
+    fleet.run(6.0)
+    fleet.settled()
+    read = [machine.call("GET", {}) for machine in fleet.machines]
+    fleet.run(1.0)
+    for answers in read:
+        assert answers and answers[0].status == 200, answers
+        assert int(str(answers[0].body["version"]), 16) >= acknowledged
+    base = fleet.machines[0].node.state["version"]  # type: ignore[union-attr]
+    assert until_taken(fleet, change(version + 100, base)) == 200
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_a_core_machine_is_exchanged_for_another_at_another_address(seed: int) -> None:
+    fleet = founded(seed)
+    gone: Machine = fleet.machines[seed % 3]
+    gone.kill()
+    if seed % 2:
+        fleet.run(4.0)  # unplanned: the newcomer comes later
+    fleet.machines.remove(gone)
+    del fleet.by_name[gone.name]
+    new = fleet.add(core=True, zone=gone.zone)
+    fleet.run(8.0)
+    roster = new.node.agreement.roster  # type: ignore[union-attr]
+    assert roster is not None and gone.name not in roster.members and new.name in roster.members
+    # the newcomer counts: with another of the old ones away, changes go on
+    other = next(m for m in fleet.machines if m.core and m is not new)
+    other.kill()
+    fleet.run(2.0)
+    assert until_taken(fleet, change(50, 1)) == 200
+    fleet.settled()
+
+
+def test_a_leaving_backend_is_answered_once_all_linked_gateways_know() -> None:
+    fleet = founded(3)
+    heard = fleet.machines[-1].call("beat", beat())
+    fleet.run(0.2)
+    assert heard[0].status == 200 and heard[0].body["heartbeat_address"] == "10.0.0.1:8000"
+    fleet.run(0.5)
+    assert all(m.node.cell.instances.known["i-1"].open for m in fleet.machines if m.node is not None)
+    leaving = fleet.machines[1].call("beat", beat("draining", 2))
+    while not leaving:
+        fleet.run(0.0005)
+    assert not any(m.node.cell.instances.known["i-1"].open for m in fleet.machines if m.node is not None)
+    late = fleet.machines[0].call("beat", beat("ready", 1))  # overtaken on its way
+    fleet.run(0.5)
+    assert late[0].status == 200
+    assert not any(m.node.cell.instances.known["i-1"].open for m in fleet.machines if m.node is not None)
+
+
+def test_a_silent_gateway_holds_a_leaving_backend_up_for_a_moment_only() -> None:
+    fleet = founded(4)
+    fleet.machines[0].call("beat", beat())
+    fleet.run(0.5)
+    fleet.cut({fleet.machines[4].name})
+    leaving = fleet.machines[0].call("leave", {"id": "i-1"})
+    fleet.run(0.4)
+    assert not leaving
+    fleet.run(0.3)
+    assert [verdict.status for verdict in leaving] == [200]
+
+
+def test_a_backend_that_falls_silent_is_taken_out_and_comes_back_with_its_next_beat() -> None:
+    fleet = founded(5)
+    fleet.machines[0].call("beat", beat())
+    fleet.run(5.0)
+    known = [m.node.cell.instances.known["i-1"] for m in fleet.machines if m.node is not None]
+    assert all(one.lost for one in known)
+    fleet.machines[0].call("beat", beat(sequence=9))
+    fleet.run(0.5)
+    assert all(m.node.cell.instances.known["i-1"].open for m in fleet.machines if m.node is not None)
+
+
+def test_without_a_majority_nothing_is_acknowledged() -> None:
+    fleet = founded(6)
+    fleet.machines[0].kill()
+    fleet.machines[1].kill()
+    fleet.run(2.0)
+    verdicts: list[Verdict] = []
+    for machine in fleet.machines[2:]:
+        verdicts += machine.call("PUT", change(9, 1))
+    fleet.run(3.0)
+    assert all(verdict.status >= 500 for verdict in verdicts)
+
+
+def test_a_disk_that_refuses_acknowledges_nothing_and_the_others_go_on() -> None:
+    fleet = founded(7)
+    for machine in fleet.machines[:2]:
+        machine.disk_refuses = True
+    heard = fleet.machines[0].call("PUT", change(9, 1))
+    fleet.run(2.0)
+    assert heard and heard[0].status >= 500
+    for machine in fleet.machines[:2]:
+        machine.disk_refuses = False
+    assert until_taken(fleet, change(9, 1)) == 200
--- /dev/null
+++ b/tests/edge/world.py
@@ -0,0 +1,242 @@
+"""Gateways of the system in the world's time and network: links, disks and processes that fail by a seed."""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from typing import Any
+
+import msgspec
+
+from embersill.edge.agreement import Begun, Remembered, Save, Stored
+from embersill.edge.document import State
+from embersill.edge.node import Node
+from embersill.edge.roll import Hello
+from embersill.edge.verdict import Verdict
+from embersill.world import kernel as world
+from embersill.world.kernel import Kernel
+from embersill.world.network import Network, Weather
+
+TICK = 0.02
+SILENT = 1.4
+DIALLED = 0.25
+CONTROL = 8000
+
+
+def document(version: int, routes: int = 1, rate: float = 50.0) -> dict[str, Any]:
+    """A sound configuration."""
+    return {
+        "version": f"{version:08x}",
+        "routes": {f"r{n}": {
+            "host": "a.example", "path_prefix": f"/p{n}/", "kind": "idempotent", "timeout_s": 2.0,
+            "target_latency_s": 0.5, "priority": 1, "service": "s", "max_attempts": 2,
+            "public_access": False} for n in range(routes)},
+        "services": {"s": {"health_path": "/health", "connection_limit": 100}},
+        "limits": {"idle_timeout_s": 15},
+        "tenants": {"t": {"api_keys": ["k"], "priority": 1, "rate_per_s": rate, "burst_size": rate}},
+    }
+
+
+def change(version: int, based_on: int, routes: int = 1) -> dict[str, Any]:
+    return {**document(version, routes), "based_on_version": f"{based_on:08x}"}
+
+
+class Machine:
+    """One machine: its process may die, its disk stays unless it is wiped."""
+
+    def __init__(self, fleet: Fleet, number: int, core: bool, zone: str) -> None:
+        self.fleet, self.number, self.core, self.zone = fleet, number, core, zone
+        self.name, self.ip = f"edge-{zone}-{number}", f"10.0.0.{number}"
+        self.process = world.Node(fleet.kernel, self.name)
+        self.disk: dict[str, bytes] = {}
+        self.disk_refuses = False
+        self.node: Node | None = None
+        self.saves: deque[Save] = deque()
+        self.up: dict[str, float] = {}  # links by peer, since when nothing has come over them
+        self.seen = 0  # the version that this life has had in force
+        self.states: dict[str, str] = {}
+
+    def start(self, first: bool = False) -> None:
+        kernel, chance = self.fleet.kernel, self.fleet.chance
+        self.process.begin_life(0.0, 0.0)
+        if self.core and "store" not in self.disk:
+            self.disk["store"] = f"{chance.getrandbits(32):x}".encode()
+        store = self.disk.get("store", b"none").decode()
+        begun, kept = self.disk.get("begun"), self.disk.get("remembered")
+        stored = Stored(
+            store, msgspec.json.decode(begun, type=Begun) if begun else None,
+            msgspec.msgpack.decode(kept, type=Remembered) if kept else None)
+        hello = Hello(self.name, self.ip, self.zone, f"{self.ip}:{CONTROL}", self.core, store,
+                      f"{chance.getrandbits(32):x}", first=first, seed=self.ip in self.fleet.seeds)
+        self.node = Node(hello, self.fleet.seeds, stored, random.Random(chance.getrandbits(32)), kernel.now)
+        self.seen = 0
+        self.states = {}
+        self.tick()
+
+    def kill(self) -> None:
+        """The process dies; a save that was under way is on disk or not."""
+        if self.node is None:
+            return
+        while self.saves and self.fleet.chance.random() < 0.5:
+            save = self.saves.popleft()
+            self.disk[save.name] = save.data
+        self.saves.clear()
+        self.process.alive, self.node = False, None
+        for name in list(self.up):
+            self.fleet.unlink(self, self.fleet.by_name[name])
+
+    def wipe(self) -> None:
+        self.kill()
+        self.disk.clear()
+
+    def tick(self) -> None:
+        if self.node is None:
+            return
+        self.node.tick(self.fleet.kernel.now)
+        self.carry_out()
+        self.process.after(TICK, self.tick)
+
+    def carry_out(self) -> None:
+        """Sends mail over the links there are, and begins saves."""
+        while self.node is not None and (self.node.effects.mail or self.node.effects.saves):
+            effects = self.node.effects
+            mail, effects.mail[:] = list(effects.mail), []
+            saves, effects.saves[:] = list(effects.saves), []
+            for peer, message in mail:
+                self.fleet.send(self, peer, message)
+            for save in saves:
+                self.saves.append(save)
+                if len(self.saves) == 1:
+                    self.process.after(self.fleet.chance.uniform(0.002, 0.008), self.saved)
+        self.fleet.check(self)
+
+    def saved(self) -> None:
+        save = self.saves.popleft()
+        good = not self.disk_refuses
+        if good:
+            self.disk[save.name] = save.data
+        save.then(good)
+        if self.saves:
+            self.process.after(self.fleet.chance.uniform(0.002, 0.008), self.saved)
+        self.carry_out()
+
+    def call(self, what: str, body: Any) -> list[Verdict]:
+        """Makes a call here; its verdict comes into the list."""
+        heard: list[Verdict] = []
+        if self.node is not None:
+            self.node.call(what, body, heard.append, self.fleet.kernel.now)
+            self.carry_out()
+        return heard
+
+
+class Fleet:
+    """All machines of a world, the links between them, and the rules that hold at every step."""
+
+    def __init__(self, seed: int, cores: int = 3, others: int = 2) -> None:
+        self.kernel = Kernel(seed)
+        self.chance = self.kernel.stream("fleet")
+        self.network = Network(self.kernel, Weather(0.0005, 0.003))
+        zones = ["a", "b", "c"]
+        self.machines = [Machine(self, n + 1, n < cores, zones[n % 3]) for n in range(cores + others)]
+        self.made = len(self.machines)
+        self.seeds = [machine.ip for machine in self.machines[:3]]
+        self.by_name = {machine.name: machine for machine in self.machines}
+        self.cut_off: dict[str, set[str]] = {}  # machines by name: whom each can't reach
+        self.last: dict[tuple[str, str], float] = {}
+        self.in_force: dict[int, str] = {}  # what each version was, wherever it was seen first
+        for machine in self.machines:
+            machine.start(first=True)
+        self.dial()
+
+    def add(self, core: bool, zone: str) -> Machine:
+        self.made += 1
+        machine = Machine(self, self.made, core, zone)
+        self.machines.append(machine)
+        self.by_name[machine.name] = machine
+        machine.start()
+        return machine
+
+    def apart(self, one: str, other: str) -> bool:
+        return other in self.cut_off.get(one, ()) or one in self.cut_off.get(other, ())
+
+    def cut(self, names: set[str]) -> None:
+        """These reach each other and nobody else."""
+        for name in names:
+            self.cut_off[name] = self.by_name.keys() - names
+
+    def heal(self) -> None:
+        self.cut_off.clear()
+
+    def dial(self) -> None:
+        now = self.kernel.now
+        for machine in self.machines:
+            for name, heard in list(machine.up.items()):
+                if not self.apart(machine.name, name):
+                    machine.up[name] = now
+                elif now - heard > SILENT:
+                    self.unlink(machine, self.by_name[name])
+            for ip in machine.node.roll.targets() if machine.node is not None else ():
+                other = next((m for m in self.machines if m.ip == ip), None)
+                if other is not None and other.node is not None and not self.apart(machine.name, other.name):
+                    self.link(machine, other)
+        self.kernel.at(now + DIALLED, self.dial)
+
+    def link(self, one: Machine, other: Machine) -> None:
+        if other.name in one.up or one.node is None or other.node is None:
+            return
+        now = self.kernel.now
+        one.up[other.name] = other.up[one.name] = now
+        mine, theirs = one.node.hello(), other.node.hello()
+        one.node.linked(theirs, now)
+        other.node.linked(mine, now)
+        one.carry_out()
+        other.carry_out()
+
+    def unlink(self, one: Machine, other: Machine) -> None:
+        for machine, peer in ((one, other), (other, one)):
+            if machine.up.pop(peer.name, None) is not None and machine.node is not None:
+                machine.node.unlinked(peer.name, self.kernel.now)
+
+    def send(self, sender: Machine, peer: str, message: Any) -> None:
+        if peer not in sender.up:
+            return
+        to, key = self.by_name[peer], (sender.name, peer)
+        arrival = max(self.network.arrival(*key), self.last.get(key, 0.0) + 1e-6)
+        self.last[key] = arrival
+        told = msgspec.json.decode(msgspec.json.encode(message))
+        self.kernel.at(arrival, self.arrive, sender, sender.process.life, to, to.process.life, told)
+
+    def arrive(self, sender: Machine, life: int, to: Machine, its_life: int, message: Any) -> None:
+        if self.apart(sender.name, to.name) or sender.process.life != life or to.process.life != its_life:
+            return
+        if to.node is not None and sender.name in to.up:
+            to.node.heard(sender.name, message, self.kernel.now)
+            to.carry_out()
+
+    def run(self, seconds: float) -> None:
+        self.kernel.run(self.kernel.now + seconds)
+
+    def settled(self) -> None:
+        """Runs until all that are alive have one version."""
+        for _ in range(200):
+            if len({m.node.state["version"] for m in self.machines if m.node is not None}) == 1:
+                return
+            self.run(0.1)
+        raise AssertionError(f"versions {[m.node and m.node.state['version'] for m in self.machines]}")
+
+    # the rules
+
+    def check(self, machine: Machine) -> None:
+        """After each step of a machine: it never goes back, and a version is one and the same everywhere."""
+        if machine.node is None:
+            return
+        state: State = machine.node.state
+        assert state["version"] >= machine.seen, f"{machine.name} went back to {state['version']}"
+        machine.seen = state["version"]
+        text = msgspec.json.encode(state["document"], order="deterministic").decode()
+        assert self.in_force.setdefault(state["version"], text) == text, f"two versions {state['version']}"
+        for name, one in machine.node.cell.instances.known.items():
+            order = {"ready": 0, "draining": 1, "gone": 2}
+            before = machine.states.get(name, "ready")
+            assert order[one.state] >= order[before], f"{name} went back to {one.state}"
+            machine.states[name] = one.state
