Slices of a quota are dealt out by an account that gives nothing away twice

Ruled out: banks (they are clamped with the slice), the reserve (its lag is a second's). The summing member now tells each gateway its slice, by the design's formula, and never more than the others' last slices leave; the reserve flows from what no slice holds. Before its account is a reading's life old it gives even slices at most.

--- a/embersill/control.py
+++ b/embersill/control.py
@@ -14,7 +14,7 @@
     TimerDue, Verdict,
 )
 from embersill.fleet import BLEND, Fleet
-from embersill.throttle import PERIOD, Charge, Throttle
+from embersill.throttle import PERIOD, Charge, Throttle, slice_of
 from embersill.turn import Turn
 from embersill.work import EPS, WORST, Attempt, Job, Server, group_of
 
@@ -373,11 +373,9 @@
         throttle.total += DEMAND_BLEND * (total / PERIOD - throttle.total)
         throttle.total = max(throttle.total, throttle.own)
         throttle.read_until = self.turn.now + READING_LIFE * PERIOD
-        quota = throttle.plan.rate
-        room = (quota - throttle.total) / throttle.width
-        room *= self.turn.settings.room_part if room > 0 else 1.0
-        rate = throttle.own + room if room >= 0 else quota * throttle.own / throttle.total
-        throttle.set_share(max(rate / quota, LEAST_SLICE / throttle.width), self.turn.now)
+        rate = slice_of(throttle.own, throttle.total, throttle.plan.rate, throttle.width)
+        least = LEAST_SLICE / throttle.width
+        throttle.set_share(max(rate / throttle.plan.rate, least), self.turn.now)
         self.release(throttle)
 
 
--- a/embersill/edge/deciding.py
+++ b/embersill/edge/deciding.py
@@ -9,10 +9,10 @@
 import math
 from collections import deque
 
-from embersill.control import Gateway
+from embersill.control import READING_LIFE, Gateway
 from embersill.fleet import Fleet
-from embersill.interface import Backend, Borrow, Configured, Lent, Settings
-from embersill.throttle import Throttle
+from embersill.interface import Backend, Borrow, Configured, Lent, Settings, Sliced
+from embersill.throttle import PERIOD, Throttle
 from embersill.work import EPS, Job, Server
 
 DRAWN = 5  # backends looked at in the zone, and so many anywhere
@@ -79,7 +79,7 @@
 
     def __init__(self, settings: Settings, seed: int, now: float) -> None:
         super().__init__(settings, seed, now)
-        self.handlers |= {Configured: self.configured, Lent: self.lent}
+        self.handlers |= {Configured: self.configured, Lent: self.lent, Sliced: self.sliced}
 
     def new_fleet(self) -> Fleet:
         return LoadedFleet(self.turn, self.may_send)
@@ -103,6 +103,14 @@
                 throttle.change(plan, settings.gateways, self.turn.now)
                 self.release(throttle)
 
+    def sliced(self, event: Sliced) -> None:
+        """The slice is told by whoever sums the demand, and never gives away more than the quota."""
+        throttle = self.throttles.get(event.customer)
+        if throttle is not None and throttle.plan.rate > 0:
+            throttle.read_until = self.turn.now + READING_LIFE * PERIOD
+            throttle.set_share(event.rate / throttle.plan.rate, self.turn.now)
+            self.release(throttle)
+
     def answer(self, job: Job, retry_after: float, over_quota: bool = False) -> None:
         """A request that came to backends and that none of them ran has used nothing of its quota."""
         throttle = job.throttle
--- a/embersill/edge/node.py
+++ b/embersill/edge/node.py
@@ -19,14 +19,13 @@
 from embersill.edge.founding import Founding
 from embersill.edge.roll import Hello, Roll
 from embersill.edge.ring import by_place
-from embersill.edge.routes import ROOM_PART, Table
-from embersill.edge.sums import WINDOW, Reserve, Sums
+from embersill.edge.routes import Table
+from embersill.edge.sums import Sums
 from embersill.edge.verdict import Ran, Verdict, done, refused
 
 FETCH_AGAIN = 0.4  # seconds after which a document that did not come is asked for elsewhere
 CALL_WITHIN = 0.8  # seconds for a call that is passed on: its caller goes elsewhere after one
 ACKED_WITHIN = 0.5  # seconds that an operator's change waits for the gateways' word
-SUMMED_BY = 2  # gateways that sum a tenant's demand, so that one may be lost
 
 Answered = Callable[[Verdict], None]
 
@@ -49,8 +48,7 @@
         self.cell = Cell(hello, self.roll, self.effects, beat_every)
         self.cell.on_news = self.news
         self.founding = Founding(hello, self.roll, self.agreement, now)
-        self.sums, self.reserve = Sums(), Reserve()
-        self.overshoot, self.slack = 0.0, 0.0  # what the deployment's bound allows above a quota: part, units
+        self.sums = Sums(now)
         self.state: State = EMPTY
         self.table: Table | None = None
         self.newest: dict[str, int] = {}  # versions that peers have, as they told
@@ -61,7 +59,7 @@
         self.on_table: Callable[[Table], None] = lambda table: None
         self.on_instances: Callable[[list[Any]], None] = lambda news: None
         self.on_lent: Callable[[dict[str, float]], None] = lambda lent: None
-        self.on_totals: Callable[[dict[str, float]], None] = lambda totals: None
+        self.on_slices: Callable[[dict[str, float]], None] = lambda slices: None
         self.agreement.load(stored)
         if self.agreement.roster is not None:
             self.roll.roster = self.agreement.roster
@@ -118,14 +116,15 @@
         elif kind == "use":
             self.sums.tell(peer, {str(k): float(v) for k, v in message["use"].items()}, self.now)
         elif kind == "totals":
-            self.effects.mail.append((peer, {"kind": "totalled", "totals": self.totals(message["names"])}))
+            slices = self.slices(peer, message["names"])
+            self.effects.mail.append((peer, {"kind": "sliced", "slices": slices}))
         elif kind == "borrow":
             lent = self.lend({str(k): float(v) for k, v in message["units"].items()})
             self.effects.mail.append((peer, {"kind": "lent", "units": lent}))
         elif kind == "lent":
             self.on_lent({str(k): float(v) for k, v in message["units"].items()})
-        elif kind == "totalled":
-            self.on_totals({str(k): float(v) for k, v in message["totals"].items()})
+        elif kind == "sliced":
+            self.on_slices({str(k): float(v) for k, v in message["slices"].items()})
         elif kind == "call":
             self.called(peer, message)
         elif kind == "result":
@@ -248,34 +247,36 @@
 
     # demand
 
-    def totals(self, tenants: list[str]) -> dict[str, float]:
-        silent = self.roll.silent(self.now)
-        rates = self.table.document.get("tenants", {}) if self.table is not None else {}
-        return {
-            tenant: self.sums.total(
-                tenant, rates[tenant].get("rate_per_s", 0.0), self.roll.count, silent, self.now)
-            for tenant in tenants if tenant in rates}
+    def summing(self, tenant: str) -> str:
+        """The member of the core that sums a tenant's demand and has its reserve; empty if none is known."""
+        roster = self.agreement.roster
+        return by_place(tenant, roster.members)[0] if roster is not None and roster.members else ""
 
-    def lend(self, asked: dict[str, float]) -> dict[str, float]:
-        """What this gateway's reserves give; another one's tenants get nothing here."""
+    def quota(self, tenant: str) -> tuple[float, float]:
+        """Rate and burst; nought where there is no limit, or where another member sums the demand."""
         tenants = self.table.document.get("tenants", {}) if self.table is not None else {}
-        lent = {}
+        found = tenants.get(tenant)
+        if found is None or self.summing(tenant) != self.me.name:
+            return 0.0, 0.0
+        return found.get("rate_per_s", 0.0), found.get("burst_size", 0.0)
+
+    def slices(self, gateway: str, tenants: list[str]) -> dict[str, float]:
+        """A gateway's slices of the quotas that are dealt out here."""
+        silent, made = self.roll.silent(self.now), {}
+        for tenant in tenants:
+            rate, _ = self.quota(tenant)
+            if rate > 0:
+                made[tenant] = self.sums.slice(tenant, gateway, rate, self.roll.count, silent, self.now)
+        return made
+
+    def lend(self, asked: dict[str, float]) -> dict[str, float]:
+        """What the reserves here give; another member's tenants get nothing."""
+        silent, lent = self.roll.silent(self.now), {}
         for tenant, units in asked.items():
-            quota = tenants.get(tenant, {"api_keys": []})
-            rate, burst = quota.get("rate_per_s", 0.0), quota.get("burst_size", 0.0)
-            if self.summing(tenant)[:1] != [self.me.name] or not rate:
-                lent[tenant] = 0.0
-                continue
-            total = self.totals([tenant])[tenant]
-            slack = self.overshoot * (WINDOW * rate + burst) + self.slack
-            lent[tenant] = self.reserve.lend(tenant, units, rate, burst, total, ROOM_PART, slack, self.now)
+            rate, burst = self.quota(tenant)
+            lent[tenant] = self.sums.lend(tenant, units, rate, burst, self.roll.count, silent, self.now)
         return lent
 
-    def summing(self, tenant: str) -> list[str]:
-        """The members of the core that sum a tenant's demand; the first one has its reserve."""
-        roster = self.agreement.roster
-        return by_place(tenant, roster.members)[:SUMMED_BY] if roster is not None else []
-
     # news
 
     def news(self, news: list[Any]) -> None:
--- a/embersill/edge/program.py
+++ b/embersill/edge/program.py
@@ -79,11 +79,11 @@
         gateway = EdgeGateway(self.settings(), seed, now)
         self.driver = Driver(gateway, self.clock, self.pool)
         self.driver.busy = 503
-        self.tally = Tally(self.node, self.clock, self.driver.counter_told)
+        self.tally = Tally(self.node, self.clock, self.driver.post)
         self.tally.flushed = self.carry_out
         self.driver.counter, self.driver.reserve = self.tally, self.tally.borrow
-        self.node.overshoot = bound(local, "quota_overshoot", 0.0)
-        self.node.slack = bound(local, "quota_slack", 0.0)
+        sums = self.node.sums
+        sums.overshoot, sums.slack = bound(local, "quota_overshoot", 0.0), bound(local, "quota_slack", 0.0)
         self.desk = FrontDesk(lambda: self.driver, self.chance)
         self.front = self.door(clients, self.desk, ROOM)
         self.ready = self.door(32, ReadyDesk(self.is_ready), 0)
--- a/embersill/edge/routes.py
+++ b/embersill/edge/routes.py
@@ -92,7 +92,6 @@
         warm_within=WARM_WITHIN, fall_multiple=3.0, overload_for=0.0, report_fields=(), most_units=0.0,
         settles=False, late_at=LATE_AT, retry_store=slack * SLACK_PART / gateways,
         retry_share=ratio * RATIO_PART, counts_all=True, banks_from=1.0 if fresh else 0.0,
-        room_part=ROOM_PART,
     )
 
 
@@ -100,5 +99,4 @@
 MOST_ADVICE = 0.25  # seconds after which a refused client is told to come back, at most: others may have room
 WARM_WITHIN = 3.0  # seconds before its warm-up's end in which a backend is taken to quicken evenly
 LATE_AT = 0.8  # of the aim: where load is told, a short queue is no sign of too much of it
-ROOM_PART = 0.35  # of the room under a quota that slices split evenly; the rest flows into its reserve
 SLACK_PART, RATIO_PART = 0.6, 0.7  # of the budget of further attempts that gateways count on
--- a/embersill/edge/sums.py
+++ b/embersill/edge/sums.py
@@ -1,73 +1,112 @@
-"""A tenant's demand over all gateways, summed without a store by gateways that the ring names.
+"""A tenant's demand over all gateways, summed without a store, and what each gets of the quota for it.
 
-Each gateway tells once a second what its tenants with new use asked for. What is summed is the last word of
-each gateway, so no clocks have to agree. One that is cut off goes on by its even slice, so that much is
-reserved for it: the others' slices and its own never add up to more than the quota.
+One member of the core, which the ring names, sums a tenant's demand. Each gateway tells it once a second
+what the tenant asked for there, and is told its slice: the design's, its own demand and a split of the room,
+or the quota times its part. What others hold by their last slices is not given a second time, whoever asks
+first: so no clocks have to agree, and slices, reserve and what silent gateways take are the quota at most.
 """
 
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
 
-FRESH = 1.6  # seconds that a word stands: told each second, one may come late
-MOST_TENANTS = 20000
-WINDOW = 5.0  # seconds over which what is above a quota is spread
-
+from embersill.throttle import slice_of
 
+BLEND = 0.5  # weight of the last second in a gateway's smoothed demand
+FRESH = 1.6  # seconds that a word stands: told each second, one may come late
+HELD = 2.6  # seconds that a slice may be used after it was told, and a little for its way
+LEAST_SLICE = 0.02  # of the even slice that is always given, so that a tenant that moves can be heard of
+ROOM_PART = 0.35  # of the room under a quota that slices split; the rest flows into the reserve
 RESERVE_DEPTH = 0.35  # of what the bound allows above a quota, that a reserve may hold
-RESERVE_FLOW = 0.25  # and that may flow into it in a window
+RESERVE_FLOW = 0.2  # and that may flow into it in a window
+WINDOW = 5.0  # seconds over which what is above a quota is spread
+MOST_TENANTS = 20000
 
 
-class Reserve:
-    """What a tenant's slices leave of its quota, lent unit by unit to gateways whose slice is too thin.
+class Account:
+    """One tenant's: demand and slice by gateway, and the reserve that slices leave."""
 
-    Slices take the demand and a part of the room under the quota; the rest of the room flows in here, with a
-    part of what the bound allows on top. It begins empty, and is at one gateway only: two would lend twice.
-    """
+    def __init__(self, now: float) -> None:
+        self.demand: dict[str, tuple[float, float]] = {}  # gateway: smoothed requests a second, when
+        self.slices: dict[str, tuple[float, float]] = {}  # gateway: rate, when
+        self.level, self.stamp = 0.0, now  # of the reserve
 
-    def __init__(self) -> None:
-        self.levels: dict[str, tuple[float, float]] = {}  # tenant: units, when
 
-    def lend(self, tenant: str, asked: float, rate: float, burst: float, total: float, room_part: float,
-             slack: float, now: float) -> float:
-        """Whole units of those asked for. `total`: the demand; `slack`: units that the bound allows above."""
-        free = max(rate - total, 0.0) * (1.0 - room_part)
-        depth = burst * free / rate + RESERVE_DEPTH * slack if rate > 0 else 0.0
-        level, stamp = self.levels.get(tenant, (0.0, now))
-        flow = free + RESERVE_FLOW * slack / WINDOW
-        level = min(level + flow * max(now - stamp, 0.0), depth)
-        lent = float(max(min(int(level + 1e-9), int(asked)), 0))
-        self.levels[tenant] = level - lent, now
-        return lent
+class Sums:
+    """The accounts that are kept here. A gateway that has just started doesn't know what others hold."""
 
+    def __init__(self, now: float, overshoot: float = 0.0, slack: float = 0.0) -> None:
+        """`overshoot`, `slack`: what the deployment's bound allows above a quota, as a part and in units."""
+        self.born, self.overshoot, self.slack = now, overshoot, slack
+        self.accounts: dict[str, Account] = {}
 
-class Sums:
-    def __init__(self) -> None:
-        self.told: dict[str, dict[str, tuple[float, float]]] = {}  # tenant, gateway: requests a second, when
+    def account(self, tenant: str, now: float) -> Account | None:
+        found = self.accounts.get(tenant)
+        if found is None and len(self.accounts) < MOST_TENANTS:
+            found = self.accounts[tenant] = Account(now)
+        return found
 
     def tell(self, gateway: str, use: Mapping[str, float], now: float) -> None:
+        """What tenants asked of a gateway in its last second."""
         for tenant, asked in use.items():
-            if tenant in self.told or len(self.told) < MOST_TENANTS:
-                self.told.setdefault(tenant, {})[gateway] = (asked, now)
+            account = self.account(tenant, now)
+            if account is not None:
+                before, at = account.demand.get(gateway, (0.0, now))
+                before = before if now - at <= FRESH else 0.0
+                account.demand[gateway] = before + BLEND * (max(asked, 0.0) - before), now
 
-    def total(self, tenant: str, quota: float, gateways: int, silent: Iterable[str], now: float) -> float:
+    def total(self, tenant: str, even: float, silent: Iterable[str], now: float) -> float:
         """Requests a second asked for, where a silent gateway counts for its even slice at least."""
-        words = self.told.get(tenant, {})
-        away = set(silent)
-        whole = sum(asked for name, (asked, at) in words.items() if now - at <= FRESH and name not in away)
+        account, away = self.accounts.get(tenant), set(silent)
+        demand = account.demand if account is not None else {}
+        whole = sum(own for name, (own, at) in demand.items() if now - at <= FRESH and name not in away)
+        return whole + sum(max(even, demand.get(name, (0.0, 0.0))[0]) for name in away)
+
+    def held(self, account: Account, even: float, silent: Iterable[str], now: float, but: str = "") -> float:
+        """What all others may use now: their last slices; silent gateways go on by the even one."""
+        away = set(silent) - {but}
+        held = sum(max(rate, even if name in away else 0.0) for name, (rate, at) in account.slices.items()
+                   if name != but and (now - at <= HELD or name in away))
+        return held + even * len(away - account.slices.keys())
+
+    def slice(self, tenant: str, gateway: str, quota: float, gateways: int, silent: list[str],
+              now: float) -> float:
+        """The rate that a gateway has from now on."""
+        account, even = self.account(tenant, now), quota / max(gateways, 1)
+        if account is None or quota <= 0:
+            return even
+        own = account.demand.get(gateway, (0.0, now))[0]
+        total = max(self.total(tenant, even, silent, now), own)
+        rate = slice_of(own, total, quota, max(gateways, 1), ROOM_PART)
+        rate = min(rate, quota - self.held(account, even, silent, now, gateway))
+        if now - self.born < HELD:  # what was told by whoever did this before may still be used
+            rate = min(rate, even)
+        rate = max(rate, LEAST_SLICE * even)
+        account.slices[gateway] = rate, now
+        return rate
+
+    def lend(self, tenant: str, asked: float, quota: float, burst: float, gateways: int, silent: list[str],
+             now: float) -> float:
+        """Whole units of those asked for, from what slices leave and a part of what the bound allows."""
+        account = self.account(tenant, now)
+        if account is None or quota <= 0:
+            return 0.0
         even = quota / max(gateways, 1)
-        for name in away:
-            asked, at = words.get(name, (0.0, -FRESH))
-            whole += max(even, asked if now - at <= 2 * FRESH else 0.0)
-        return whole
+        free = max(quota - self.held(account, even, silent, now), 0.0) if now - self.born >= HELD else 0.0
+        above = self.overshoot * (WINDOW * quota + burst) + self.slack
+        depth = burst * free / quota + RESERVE_DEPTH * above
+        flow = free + RESERVE_FLOW * above / WINDOW
+        level = min(account.level + flow * max(now - account.stamp, 0.0), depth)
+        lent = float(max(min(int(level + 1e-9), int(asked)), 0))
+        account.level, account.stamp = level - lent, now
+        return lent
 
     def forget(self, now: float) -> None:
-        """Drops words that stand no more."""
-        for tenant, words in list(self.told.items()):
-            for name, (_, at) in list(words.items()):
-                if now - at > 2 * FRESH:
-                    del words[name]
-            if not words:
-                del self.told[tenant]
-
-
+        """Drops what stands no more."""
+        for tenant, account in list(self.accounts.items()):
+            for known, most in ((account.demand, 2 * FRESH), (account.slices, 60.0)):
+                for name, (_, at) in list(known.items()):
+                    if now - at > most:
+                        del known[name]
+            if not account.demand and not account.slices and now - account.stamp > 60.0:
+                del self.accounts[tenant]
--- a/embersill/interface.py
+++ b/embersill/interface.py
@@ -120,7 +120,6 @@
     retry_share: float = 0.15  # further ones earned by each first one: bounds what they add in a bad hour
     counts_all: bool = False  # each customer's demand is told, however far from its quota
     banks_from: float = 1.0  # part of its bank that a throttle begins with
-    room_part: float = 1.0  # of the room under a quota that is split evenly; a reserve has the rest
 
 
 @dataclass(frozen=True, slots=True)
@@ -280,6 +279,14 @@
     out: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Sliced:
+    """This gateway's slice of a customer's quota, in units a second, by whoever sums the demand."""
+
+    customer: str
+    rate: float
+
+
 @dataclass(frozen=True, slots=True)
 class Lent:
     """What a reserve gave of the units that were asked for."""
@@ -304,7 +311,7 @@
 
 Event = (
     Request | BackendList | ClientLeft | StreamBegun | AttemptEnded | Counted | Probed | TimerDue | Allotted
-    | Inherited | Question | Ruled | Held | Shared | Configured | Lent
+    | Inherited | Question | Ruled | Held | Shared | Configured | Lent | Sliced
 )
 
 
--- a/embersill/net/driver.py
+++ b/embersill/net/driver.py
@@ -197,7 +197,7 @@
         self.post(held)
         self.pool.rest_line(held.backend)
 
-    def counter_told(self, counted: Counted | Lent) -> None:
+    def counter_told(self, counted: Counted) -> None:
         self.post(counted)
 
     def timer_due(self, key: str, due: float) -> None:
--- a/embersill/throttle.py
+++ b/embersill/throttle.py
@@ -11,6 +11,17 @@
 LEAST_PART = 1e-6  # of a quota or ceiling, where none is allotted: what divides by a rate goes on
 
 
+def slice_of(own: float, total: float, quota: float, width: int, room_part: float = 1.0) -> float:
+    """A gateway's rate of a quota, in units a second: its demand and an even split of the room that is left.
+
+    Above the quota it is the quota times the gateway's part of the demand. `room_part`: of the room, that is
+    split; the rest is left to a reserve.
+    """
+    if total <= quota:
+        return own + room_part * (quota - total) / width
+    return quota * own / total
+
+
 class Charge:
     """What a request took of a ceiling, and when; not final while perhaps nothing of it comes anywhere."""
 
--- a/tests/edge/test_system.py
+++ b/tests/edge/test_system.py
@@ -50,7 +50,7 @@
     fleet = founded(seed)
     for version in range(2, 6):
         base = fleet.machines[0].node.state["version"]  # type: ignore[union-attr]
-        calls = [fleet.machines[(seed + n) % 5].call("PUT", change(10 * version + n, base)) for n in (0, 1, 2)]
+        calls = [fleet.machines[(seed + n) % 5].call("PUT", change(10 * version + n, base)) for n in range(3)]
         fleet.run(1.2)
         taken = [heard for heard in calls if heard and heard[0].status == 200]
         assert len(taken) <= 1
