control.py is split by concern; the system's parts are tested on loopback and one by one

The system's own decisions are subclasses (edge/deciding.py). Fences name the modules where their lines stand now.

--- a/embersill/counting/bound.py
+++ b/embersill/counting/bound.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from embersill.control import RIGHT_FROM, SOON
+from embersill.totals import RIGHT_FROM, SOON
 from embersill.counting.terms import BEAT, Terms
 from embersill.interface import Plan, Settings
 from embersill.throttle import PERIOD
--- a/embersill/counting/keeper.py
+++ b/embersill/counting/keeper.py
@@ -11,7 +11,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from embersill.control import EPOCH
+from embersill.totals import EPOCH
 from embersill.counting import presence
 from embersill.counting.accounts import Account
 from embersill.counting.placement import place_of
--- a/embersill/edge/deciding.py
+++ b/embersill/edge/deciding.py
@@ -9,7 +9,11 @@
 import math
 from collections import deque
 
-from embersill.control import READING_LIFE, Gateway
+from embersill.admission import Admission
+from embersill.attempts import Attempts
+from embersill.backends import Backends
+from embersill.control import Gateway
+from embersill.totals import READING_LIFE
 from embersill.fleet import Fleet
 from embersill.interface import Backend, Borrow, Configured, Lent, Settings, Sliced
 from embersill.throttle import PERIOD, Throttle
@@ -72,45 +76,14 @@
             self.retry_credit = min(self.retry_credit, self.most_credit)
 
 
-class EdgeGateway(Gateway):
-    """Decides for one gateway of the system."""
-
-    strict = True
-
-    def __init__(self, settings: Settings, seed: int, now: float) -> None:
-        super().__init__(settings, seed, now)
-        self.handlers |= {Configured: self.configured, Lent: self.lent, Sliced: self.sliced}
+class EdgeBackends(Backends):
+    """Each service's backends tell their load."""
 
     def new_fleet(self) -> Fleet:
         return LoadedFleet(self.turn, self.may_send)
 
-    def configured(self, event: Configured) -> None:
-        """Takes over classes and plans; a throttle goes on with its level under its plan's new figures."""
-        settings = self.turn.settings = event.settings
-        self.classes = {c.name: c for c in settings.classes}
-        self.plans = {p.name: p for p in settings.plans}
-        for klass in settings.classes:
-            self.late.setdefault(klass.name, deque())
-        for plan in settings.plans:
-            for sure in (False, True):
-                self.granted.setdefault((plan.name, sure), float(sure))
-        for fleet in self.fleets.values():
-            if isinstance(fleet, LoadedFleet):
-                fleet.resettle()
-        for throttle in self.throttles.values():
-            plan = self.plans.get(throttle.plan.name, throttle.plan)
-            if throttle.plan != plan or throttle.width != settings.gateways:
-                throttle.change(plan, settings.gateways, self.turn.now)
-                self.release(throttle)
-
-    def sliced(self, event: Sliced) -> None:
-        """The slice is told by whoever sums the demand, and never gives away more than the quota."""
-        throttle = self.throttles.get(event.customer)
-        if throttle is not None and throttle.plan.rate > 0:
-            throttle.read_until = self.turn.now + READING_LIFE * PERIOD
-            throttle.set_share(event.rate / throttle.plan.rate, self.turn.now)
-            self.release(throttle)
 
+class EdgeAttempts(Attempts):
     def answer(self, job: Job, retry_after: float, over_quota: bool = False) -> None:
         """A request that came to backends and that none of them ran has used nothing of its quota."""
         throttle = job.throttle
@@ -120,11 +93,16 @@
             throttle.level = min(throttle.level + job.request.units, most)
         super().answer(job, retry_after, over_quota)
 
+
+class EdgeAdmission(Admission):
+    """What a slice lacks is borrowed from the tenant's reserve, as long as that has any."""
+
+    strict = True
+
     def may_borrow(self, throttle: Throttle) -> bool:
         return throttle.plan.rate > 0 and not throttle.asking and self.turn.now >= throttle.dry_until
 
     def borrow(self, throttle: Throttle) -> None:
-        """Asks the reserve for what the buffer here waits for."""
         throttle.asking = True
         self.turn.actions.append(Borrow(throttle.customer, max(math.ceil(-throttle.level), 1.0)))
 
@@ -141,3 +119,49 @@
         elif throttle.level < -EPS and throttle.queue:
             return self.borrow(throttle)
         return self.release(throttle)
+
+    def sliced(self, event: Sliced) -> None:
+        """The slice is told by whoever sums the demand, and never gives away more than the quota."""
+        throttle = self.throttles.get(event.customer)
+        if throttle is not None and throttle.plan.rate > 0:
+            throttle.read_until = self.turn.now + READING_LIFE * PERIOD
+            throttle.set_share(event.rate / throttle.plan.rate, self.turn.now)
+            self.release(throttle)
+
+    def replan(self) -> None:
+        """Quotas or the number of gateways have changed: a throttle goes on with its level."""
+        for throttle in self.throttles.values():
+            plan = self.turn.plans.get(throttle.plan.name, throttle.plan)
+            if throttle.plan != plan or throttle.width != self.turn.settings.gateways:
+                throttle.change(plan, self.turn.settings.gateways, self.turn.now)
+                self.release(throttle)
+
+
+class EdgeGateway(Gateway):
+    """Decides for one gateway of the system."""
+
+    def __init__(self, settings: Settings, seed: int, now: float) -> None:
+        super().__init__(settings, seed, now)
+        admission = self.admission
+        assert isinstance(admission, EdgeAdmission)
+        self.handlers |= {
+            Configured: self.configured, Lent: admission.lent, Sliced: admission.sliced}
+        self.replan = admission.replan
+
+    def parts(self) -> tuple[Backends, Attempts, Admission]:
+        backends = EdgeBackends(self.turn)
+        attempts = EdgeAttempts(self.turn, self.totals, backends)
+        return backends, attempts, EdgeAdmission(self.turn, self.totals, attempts)
+
+    def configured(self, event: Configured) -> None:
+        """Takes over classes and plans; what is under way keeps its class."""
+        self.turn.configure(event.settings)
+        for klass in event.settings.classes:
+            self.attempts.late.setdefault(klass.name, deque())
+        for plan in event.settings.plans:
+            for sure in (False, True):
+                self.totals.granted.setdefault((plan.name, sure), float(sure))
+        for fleet in self.backends.fleets.values():
+            if isinstance(fleet, LoadedFleet):
+                fleet.resettle()
+        self.replan()
--- a/embersill/edge/document.py
+++ b/embersill/edge/document.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import re
 from typing import Any, Literal, NotRequired, TypedDict
 
 import msgspec
@@ -12,6 +13,7 @@
 
 MOST_TAKEN = 64  # changes whose digests are kept, so that one that is sent again is known
 MOST_ITEMS = 20000  # routes, services or tenants
+VERSION = re.compile(r"[0-9a-fA-F]{1,16}")
 SECTIONS = ("routes", "services", "tenants")
 
 
@@ -103,12 +105,9 @@
 
 def read_version(text: Any) -> int | None:
     """A version as bodies have it: hexadecimal digits; None for anything else."""
-    if not isinstance(text, str) or not 0 < len(text) <= 16:
-        return None
-    try:
-        return int(text, 16) if text.isalnum() else None
-    except ValueError:
+    if not isinstance(text, str) or not VERSION.fullmatch(text):
         return None
+    return int(text, 16)
 
 
 def write_version(version: int) -> str:
--- a/embersill/lab/counting/fences.py
+++ b/embersill/lab/counting/fences.py
@@ -9,7 +9,7 @@
     "embersill.counting.presence",
     "embersill.counting.accounts",
 )
-CONTROL = "embersill.control"
+TOTALS = "embersill.totals"
 
 FENCES = (
     Fence(
@@ -77,14 +77,14 @@
     ),
     Fence(
         "repays",
-        CONTROL,
+        TOTALS,
         "what was passed on unknown to the others is forgiven",
         "if level < 0 < call[2] - call[1] and not self.repays:",
         "if level < 0 < call[2] - call[1]:",
     ),
     Fence(
         "share-in-a-crowd",
-        CONTROL,
+        TOTALS,
         "requests go on unasked while the counter is crowded",
         "            if self.repays:  # what a crowded",
         "            if False:  # what a crowded",
@@ -144,14 +144,14 @@
     ),
     Fence(
         "tells-by-itself",
-        CONTROL,
+        TOTALS,
         "a gateway to which no request comes any more never tells what it passed on in a silence",
         "if self.repays and throttle.uncounted and not throttle.counting:",
         "if False:",
     ),
     Fence(
         "share-at-once",
-        CONTROL,
+        TOTALS,
         "after a call without an answer the last reading still decides",
         "            if self.repays and call[1] > 0:  # what",
         "            if False:  # what",
--- a/embersill/lab/counting/world.py
+++ b/embersill/lab/counting/world.py
@@ -14,7 +14,8 @@
 from dataclasses import replace
 from typing import Any
 
-from embersill.control import EPOCH, Gateway
+from embersill.control import Gateway
+from embersill.totals import EPOCH
 from embersill.counting.bound import FRESH, Case, case_of, excess
 from embersill.counting.keeper import Call, Keeper
 from embersill.counting.keeper import Step as Asked
--- a/embersill/lab/levels/fences.py
+++ b/embersill/lab/levels/fences.py
@@ -11,7 +11,7 @@
 FORWARDER, PLANNER = "embersill.tiers.forwarder", "embersill.tiers.planner"
 RESERVES = "embersill.tiers.reserves"
 LEDGER, WIRE, TERMS = "embersill.tiers.ledger", "embersill.tiers.wire", "embersill.tiers.terms"
-CONTROL, THROTTLE = "embersill.control", "embersill.throttle"
+ATTEMPTS, FLEET, THROTTLE = "embersill.attempts", "embersill.fleet", "embersill.throttle"
 
 FENCES = (
     # what a forwarder keeps
@@ -269,40 +269,40 @@
     # what the decisions keep
     Fence(
         "drain",
-        CONTROL,
+        ATTEMPTS,
         "a backend that drains is drawn, and sent to",
         "if server.backend.status is not Status.SERVING or not known:",
         "if not known:",
         (
             (
-                CONTROL,
-                "self.order = [s for s in self.servers.values() if s.backend.status is Status.SERVING]",
-                "self.order = list(self.servers.values())",
+                FLEET,
+                "self.order = [s for s in servers if s.backend.status is Status.SERVING]",
+                "self.order = list(servers)",
             ),
         ),
     ),
     Fence(
         "cold-ramp",
-        CONTROL,
+        FLEET,
         "a cold backend gets as much as a warm one",
-        "return part * server.cold_share(self.now, self.settings)",
+        "return part * server.cold_share(self.turn.now, self.turn.settings)",
         "return 1.0",
     ),
     Fence(
         "unsafe-once",
-        CONTROL,
+        ATTEMPTS,
         "what must not run twice is sent again",
         "if first is not None and job.klass.repeats is Repeats.ONCE:",
         "if False:",
     ),
     Fence(
         "dedup-window",
-        CONTROL,
+        ATTEMPTS,
         "a keyed repeat is sent after its key is forgotten",
-        "if apart or self.now - first.sent >= job.klass.memory:",
+        "if apart or self.turn.now - first.sent >= job.klass.memory:",
         "if apart:",
         (
-            (CONTROL, "send.write_by = job.risky.sent + job.klass.memory", "pass"),
+            (ATTEMPTS, "send.write_by = job.risky.sent + job.klass.memory", "pass"),
             (
                 FORWARDER,
                 "self.remembered_until(task))\n        self.actions",
@@ -312,13 +312,13 @@
     ),
     Fence(
         "dedup-group",
-        CONTROL,
+        ATTEMPTS,
         "a keyed repeat goes to another group",
-        "if apart or self.now - first.sent >= job.klass.memory:",
-        "if self.now - first.sent >= job.klass.memory:",
+        "if apart or self.turn.now - first.sent >= job.klass.memory:",
+        "if self.turn.now - first.sent >= job.klass.memory:",
         (
             (
-                CONTROL,
+                FLEET,
                 "pool = [s for s in self.order if group_of(job.klass, s) == group]",
                 "pass",
             ),
@@ -326,21 +326,21 @@
     ),
     Fence(
         "honest-refusal",
-        CONTROL,
+        ATTEMPTS,
         "one that may have run is refused",
         "if job.risky is not None and not harmless:",
         "if False:",
     ),
     Fence(
         "may-have-run",
-        CONTROL,
+        ATTEMPTS,
         "a broken attempt counts as one that never ran",
         "attempt.out, attempt.unrun = False, event.outcome.never_ran",
         "attempt.out, attempt.unrun = False, event.outcome is not Outcome.SERVED",
     ),
     Fence(
         "ceiling",
-        CONTROL,
+        ATTEMPTS,
         "a ceiling is not looked at",
         "return job.charge is not None or plan.ceiling_rate <= 0 "
         "or job.request.units <= job.throttle.cap + EPS",
@@ -349,7 +349,7 @@
     ),
     Fence(
         "charged-when-passed",
-        CONTROL,
+        ATTEMPTS,
         "a ceiling is charged when a try is first sent, though nothing came",
         "elif all(a.nowhere for a in job.attempts):",
         "elif False:",
--- a/embersill/lab/levels/wide.py
+++ b/embersill/lab/levels/wide.py
@@ -19,7 +19,12 @@
 from embersill.world.mutants import Mutant, mutants, mutated
 
 MODULES = (
+    "embersill.admission",
+    "embersill.attempts",
+    "embersill.backends",
     "embersill.control",
+    "embersill.fleet",
+    "embersill.totals",
     "embersill.throttle",
     "embersill.tiers.forwarder",
     "embersill.tiers.planner",
--- a/embersill/lab/tracing.py
+++ b/embersill/lab/tracing.py
@@ -73,7 +73,7 @@
         elif isinstance(event, Counted) and event.outcome is not Outcome.SERVED:
             self.note(now, "uncounted", event.outcome.name, f"{event.elapsed:.4f}")
         elif isinstance(event, BackendList):
-            serving = sum(len(f.order) for f in self.gateway.fleets.values())
+            serving = sum(len(f.order) for f in self.gateway.backends.fleets.values())
             self.note(now, "list", event.kind.name, len(event.backends), serving)
 
     def said(self, action: Action, now: float) -> None:
--- a/embersill/net/backends.py
+++ b/embersill/net/backends.py
@@ -409,7 +409,7 @@
 
     def judge(self, connection: BackendConnection, attempt: Attempt, body: bytes) -> Answer:
         if connection.status == 200:
-            return Answer(Outcome.SERVED, body, connection.units, connection.headers, 200)
+            return Answer(Outcome.SERVED, body, connection.units, connection.headers)
         turned_away = connection.status in (503, 504) and connection.rejected
         return Answer(Outcome.TURNED_AWAY if turned_away else Outcome.ERROR)
 
--- a/embersill/turn.py
+++ b/embersill/turn.py
@@ -10,9 +10,32 @@
 class Turn:
     """One event's turn: `now` in seconds, and the actions that the event brings about, in their order."""
 
-    __slots__ = ("actions", "now", "random", "settings")
+    __slots__ = ("actions", "classes", "now", "plans", "random", "settings")
 
     def __init__(self, settings: Settings, seed: int, now: float) -> None:
-        self.settings, self.now = settings, now
+        self.now = now
         self.random = random.Random(seed)
         self.actions: list[Action] = []
+        self.configure(settings)
+
+    def configure(self, settings: Settings) -> None:
+        """These settings hold from now on; ValueError names one that makes no sense."""
+        check(settings)
+        self.settings = settings
+        self.classes = {c.name: c for c in settings.classes}
+        self.plans = {p.name: p for p in settings.plans}
+
+
+def check(settings: Settings) -> None:
+    """ValueError with the name of a setting that makes no sense."""
+    if settings.gateways < 1 or settings.max_attempts < 1:
+        raise ValueError(f"settings: {'gateways' if settings.gateways < 1 else 'max_attempts'} is below 1")
+    names = ("warm_within", "overload_for", "fall_multiple", "cold_from", "max_retry_after", "ask_every")
+    sets: list[tuple[object, str, tuple[str, ...]]] = [(settings, "", names)]
+    figures = ("rate", "burst", "ceiling_rate", "ceiling_depth", "concurrency")
+    sets += [(plan, f" of plan {plan.name}", figures) for plan in settings.plans]
+    sets += [(klass, f" of class {klass.name}", ("aim", "deadline", "memory")) for klass in settings.classes]
+    for source, where, keys in sets:
+        for name in keys:
+            if getattr(source, name) < 0:
+                raise ValueError(f"settings: {name}{where} is below nought")
--- a/embersill/work.py
+++ b/embersill/work.py
@@ -4,7 +4,7 @@
 
 import math
 import zlib
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from embersill.interface import Backend, Request, RequestClass, Scope, Settings
 
@@ -24,6 +24,18 @@
 LEAST_LIMIT = 4.0  # the same once it is under pressure: less would leave the cores of a backend idle
 
 
+class Outcomes(Protocol):
+    """Where admission sends what it has decided on."""
+
+    def place(self, job: Job) -> None:
+        """It may go on to a backend."""
+        ...
+
+    def answer(self, job: Job, retry_after: float, over_quota: bool = False) -> None:
+        """It is turned away."""
+        ...
+
+
 class Job:
     """A request this gateway owes an answer, with its attempts."""
 
--- a/tests/counting/helpers.py
+++ b/tests/counting/helpers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from embersill.control import EPOCH
+from embersill.totals import EPOCH
 from embersill.counting.keeper import Call, Keeper, Step
 from embersill.counting.terms import Terms
 from embersill.interface import Count, Counted, Outcome
--- a/tests/counting/test_keeper.py
+++ b/tests/counting/test_keeper.py
@@ -284,9 +284,10 @@
     made = gateway()
     for number in range(5):
         made.handle(Counted(f"x{number}.1", Outcome.NO_CONNECTION, 0.0, 0.0, True), 100.0 + number)
-    assert made.quiet_until == 100.0 and made.counted_part == 1.0 and made.count_fails == 0
+    totals = made.totals
+    assert totals.quiet_until == 100.0 and totals.counted_part == 1.0 and totals.count_fails == 0
     made.handle(Counted("x.1", Outcome.NO_CONNECTION, 0.0, 0.0), 106.0)
-    assert made.quiet_until > 106.0
+    assert made.totals.quiet_until > 106.0
 
 
 def test_a_count_says_whose_it_is() -> None:
@@ -375,7 +376,7 @@
 
 def test_in_a_crowd_no_request_is_counted_for_others_that_are_told_themselves() -> None:
     clocked = Clocked()
-    clocked.gateway.counted_part = 0.5
+    clocked.gateway.totals.counted_part = 0.5
     amounts = [count.amount for n in range(20) for count in counts(clocked.ask(6001.0 + n))]
     assert amounts and max(amounts) <= 20.0
     assert clocked.gateway.jobs[1].counted in (0.0, 1.0)
--- /dev/null
+++ b/tests/edge/test_parts.py
@@ -0,0 +1,301 @@
+"""The parts that decide, one by one: documents, routes, sums, instances, and the gateway's own decisions."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import pytest
+
+from embersill.edge.check import checked
+from embersill.edge.deciding import EdgeGateway
+from embersill.edge.document import EMPTY, State, changed, read_version, write_version
+from embersill.edge.instances import Instance, Instances
+from embersill.edge.local import Local, read_local
+from embersill.edge.ring import by_place
+from embersill.edge.routes import Table, settings_for
+from embersill.edge.sums import FRESH, HELD, Sums
+from embersill.interface import (
+    Action, AttemptEnded, Backend, BackendList, Borrow, Configured, Count, Fail, Lent, ListKind, Outcome,
+    Refuse, Request, Send, Sliced, Status, TimerDue,
+)
+from tests.edge.world import change, document
+
+
+def taken(state: State, method: str, body: Any) -> State:
+    result = changed(state, method, body)
+    assert result.is_ok(), result.error
+    return result.ok
+
+
+def refusal(state: State, method: str, body: Any) -> int:
+    result = changed(state, method, body)
+    assert result.is_error()
+    return result.error.status
+
+
+def test_a_change_builds_on_the_version_in_place_and_climbs() -> None:
+    state = taken(EMPTY, "PUT", change(3, 0))
+    assert state["version"] == 3 and "based_on_version" not in state["document"]
+    assert taken(state, "PUT", change(3, 0)) is state  # sent again
+    assert refusal(state, "PUT", change(4, 0)) == 412
+    assert refusal(state, "PUT", change(3, 3)) == 400
+    assert refusal(state, "PUT", {**change(4, 3), "version": "x"}) == 400
+    assert refusal(state, "PUT", [1]) == 400
+
+
+def spoilt(kind: str) -> dict[str, Any]:
+    made = change(4, 3, routes=2)
+    route = made["routes"]["r0"]
+    if kind == "unknown service":
+        route["service"] = "nobody"
+    elif kind == "unknown in a split":
+        del route["service"]
+        route["weighted_split"] = [{"service": "s", "weight": 1}, {"service": "nobody", "weight": 1}]
+    elif kind == "same place":
+        made["routes"]["r1"]["path_prefix"] = route["path_prefix"]
+    elif kind == "no attempts":
+        route["max_attempts"] = 0
+    elif kind == "odd kind":
+        route["kind"] = "sometimes"
+    elif kind == "shared key":
+        made["tenants"]["u"] = {"api_keys": ["k"]}
+    elif kind == "cut short":
+        del made["routes"]
+    elif kind == "text for a number":
+        route["timeout_s"] = "soon"
+    elif kind == "endless":
+        route["timeout_s"] = float("inf")
+    return made
+
+
+@pytest.mark.parametrize("kind", [
+    "unknown service", "unknown in a split", "same place", "no attempts", "odd kind", "shared key",
+    "cut short", "text for a number", "endless",
+])
+def test_an_invalid_configuration_is_refused(kind: str) -> None:
+    state = taken(EMPTY, "PUT", change(3, 0))
+    assert refusal(state, "PUT", spoilt(kind)) == 400
+
+
+def test_a_patch_replaces_adds_and_removes_by_name_and_is_checked_as_a_whole() -> None:
+    state = taken(EMPTY, "PUT", change(3, 0, routes=2))
+    route = {**document(1)["routes"]["r0"], "path_prefix": "/new/"}
+    patch = {"version": "00000005", "based_on_version": "00000003",
+             "upsert_items": {"routes": {"r9": route}, "tenants": {"u": {"api_keys": ["z"]}}},
+             "remove_names": {"routes": ["r0"], "tenants": ["t"]}}
+    made = taken(state, "PATCH", patch)
+    assert set(made["document"]["routes"]) == {"r1", "r9"} and set(made["document"]["tenants"]) == {"u"}
+    assert made["document"]["version"] == "00000005" and made["document"]["limits"] == {"idle_timeout_s": 15}
+    assert refusal(state, "PATCH", {**patch, "remove_names": {"services": ["s"]}}) == 400
+    assert refusal(made, "PATCH", {**patch, "based_on_version": "00000003", "version": "00000006"}) == 412
+
+
+def test_versions_are_hexadecimal() -> None:
+    assert read_version("0000000c") == 12 and write_version(12) == "0000000c"
+    assert [read_version(text) for text in ("", "0x1f", "-1", " 1", "g", None, 3, "1" * 17)] == [None] * 8
+
+
+def test_the_route_is_the_longest_prefix_of_its_host_and_splits_by_weight() -> None:
+    made = document(1, routes=1)
+    made["services"]["q"] = {}
+    made["routes"]["long"] = {**made["routes"]["r0"], "path_prefix": "/p0/deep/", "weighted_split": [
+        {"service": "s", "weight": 3}, {"service": "q", "weight": 1}, {"service": "s", "weight": 0}]}
+    table = Table(made)  # type: ignore[arg-type]
+
+    def find(host: str, path: str) -> str | None:
+        return getattr(table.find(host, path), "name", None)
+
+    assert find("A.example:80", "/p0/x") == "r0" and find("a.example", "/p0/deep/x") == "long"
+    assert find("a.example", "/p") is None and find("b.example", "/p0/x") is None
+    way = table.find("a.example", "/p0/deep/")
+    assert way is not None and [way.service(d) for d in (0.0, 0.74, 0.76, 0.999)] == ["s", "s", "q", "q"]
+    assert table.keys == {"k": "t"} and table.keyed
+
+
+def test_the_ring_moves_only_the_names_of_who_leaves() -> None:
+    members = [f"m{n}" for n in range(6)]
+    before = {f"t{n}": by_place(f"t{n}", members) for n in range(200)}
+    for name, order in before.items():
+        assert by_place(name, [m for m in members if m != "m3"]) == [m for m in order if m != "m3"]
+    assert len({order[0] for order in before.values()}) == 6
+
+
+def test_what_two_gateways_know_of_a_backend_has_one_merge_in_any_order() -> None:
+    told = [Instance("i", "s", "a:1", "z", 2, state, sequence, 0.0, keeper, lost)
+            for state, sequence, keeper, lost in (
+                ("ready", 1, "k", False), ("ready", 5, "k", False), ("ready", 5, "k", True),
+                ("draining", 6, "j", False), ("gone", 7, "j", False))]
+    for seed in range(30):
+        one = Instances("me")
+        for instance in random.Random(seed).sample(told, len(told)):
+            one.merge([instance], 0.0)
+        assert one.known["i"].state == "gone"
+    ready = Instances("me")
+    ready.merge(told[:3], 0.0)
+    assert ready.known["i"].lost and ready.merge([told[1]], 0.0) == []
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_slices_reserve_and_silent_gateways_never_have_more_than_the_quota(seed: int) -> None:
+    """Gateways ask at any moment, demand jumps, some fall silent: what all may use at once is added up."""
+    chance, quota, gateways = random.Random(seed), 60.0, 8
+    sums = Sums(0.0, 0.1, 20.0)
+    uses: dict[str, tuple[float, float]] = {}  # gateway: rate, until when
+    now = HELD
+    silent: list[str] = []
+    used: list[tuple[float, float]] = []  # when, units: slices used to the full, and what was lent
+    for _ in range(600):
+        step = chance.uniform(0.01, 0.1)
+        now += step
+        name = f"g{chance.randrange(gateways)}"
+        if chance.random() < 0.02 and len(silent) < 3 and name not in silent:
+            silent.append(name)
+        elif chance.random() < 0.02 and silent:
+            silent.pop(0)
+        if name in silent:
+            continue
+        busy = 12.0 if 15.0 < now < 25.0 else 3.0
+        sums.tell(name, {"t": chance.uniform(0, 2 * busy)}, now)
+        uses[name] = sums.slice("t", name, quota, gateways, silent, now), now + HELD
+        rates = sum(rate for rate, until in uses.values() if until >= now)
+        used.append((now, sums.lend("t", 3.0, quota, quota, gateways, silent, now) + rates * step))
+        away = sum(quota / gateways for other in silent if uses.get(other, (0.0, 0.0))[1] < now)
+        assert rates + away <= quota * 1.02
+        assert sum(units for at, units in used if now - at <= 5.0) <= (5 * quota + quota) * 1.1 + 20.0
+
+
+def test_slices_follow_the_demand_and_the_rest_can_be_borrowed() -> None:
+    sums = Sums(0.0, 0.1, 20.0)
+    now = HELD
+    for _ in range(8):
+        now += 1.0
+        for name, asked in (("busy", 30.0), ("calm", 2.0)):
+            sums.tell(name, {"t": asked}, now)
+            sums.slice("t", name, 100.0, 10, [], now)
+    account = sums.accounts["t"]
+    assert account.slices["busy"][0] > 30.0 > 10.0 > account.slices["calm"][0] > 2.0
+    assert sums.lend("t", 1000.0, 100.0, 100.0, 10, [], now + 1) > 40.0
+    assert sums.lend("t", 1000.0, 100.0, 100.0, 10, [], now + 1) == 0.0
+    assert sums.total("t", 10.0, ["calm"], now) == pytest.approx(30.0 + 10.0, rel=0.1)
+    assert sums.total("t", 10.0, [], now + 2 * FRESH) == 0.0
+
+
+def settings(gateways: int = 4, fresh: bool = True, rate: float = 50.0, **more: Any) -> Any:
+    made = document(1, routes=2, rate=rate)
+    made["routes"]["r1"]["kind"] = "non_idempotent"
+    return settings_for(Table(made), zone="a", me=1, gateways=gateways, fresh=fresh,  # type: ignore[arg-type]
+                        ratio=0.2, slack=68.0)
+
+
+def edge(**more: Any) -> EdgeGateway:
+    made = EdgeGateway(settings(**more), 1, 100.0)
+    backends = tuple(
+        Backend(f"b{n}", "ab"[n % 2], f"b{n}", 0, Status.SERVING, 1.0, None, "s", 2) for n in range(4))
+    made.handle(BackendList(ListKind.CHANGES, backends), 100.0)
+    return made
+
+
+def ask(number: int, route: str = "r0", tenant: str = "t") -> Request:
+    return Request(number, route, tenant, tenant, 102.0, 1.0, 0, -1, False, "s")
+
+
+def of(actions: list[Action], kind: type) -> list[Any]:
+    return [action for action in actions if isinstance(action, kind)]
+
+
+def ended(number: int, place: int, where: str, outcome: Outcome,
+          load: tuple[float, ...] = ()) -> AttemptEnded:
+    return AttemptEnded(number, place, where, outcome, 0.1, False, 0.0, load)
+
+
+def test_a_thin_slice_borrows_and_what_the_reserve_lacks_is_refused_with_a_time_to_come_back() -> None:
+    made = edge(fresh=False, rate=2.0)
+    first = made.handle(ask(1), 100.0)
+    assert of(first, Borrow) == [Borrow("t", 1.0)] and not of(first, Send)
+    assert of(made.handle(Lent("t", 1.0), 100.0), Send)
+    second = made.handle(ask(2), 100.0)
+    assert of(second, Borrow)
+    refused = of(made.handle(Lent("t", 0.0), 100.0), Refuse)
+    assert refused and refused[0].over_quota and refused[0].retry_after > 0
+    third = made.handle(ask(3), 100.01)  # the reserve is not asked again at once
+    assert not of(third, Borrow) and of(third, Refuse)
+
+
+def test_every_keyed_request_goes_by_the_throttle_and_public_ones_go_free() -> None:
+    made = edge(rate=8.0)  # four gateways: a bank of two
+    sent = [bool(of(made.handle(ask(n), 100.0), Send)) for n in range(4)]
+    assert sent == [True, True, False, False] and made.throttles["t"].queue
+    assert all(of(made.handle(ask(n, tenant=""), 100.0), Send) for n in range(10, 14))
+
+
+def test_the_slice_that_is_told_decides_until_it_is_too_old_and_then_the_even_one() -> None:
+    made = edge(rate=40.0)
+    made.handle(ask(1), 100.0)
+    made.handle(Sliced("t", 30.0), 100.5)
+    assert made.throttles["t"].rate == pytest.approx(30.0)
+    counted = of(made.handle(TimerDue("ct"), 101.2), Count)
+    assert counted and counted[0].amount == 1.0  # demand is told, however far from the quota
+    made.handle(TimerDue("ct"), 104.2)
+    assert made.throttles["t"].rate == pytest.approx(10.0)
+
+
+def test_what_no_backend_ran_is_given_back_and_what_may_have_run_is_never_sent_again() -> None:
+    made = edge(rate=40.0)
+    level = made.throttles["t"].level if "t" in made.throttles else 10.0
+    where = of(made.handle(ask(1, "r1"), 100.0), Send)[0].backend
+    again = made.handle(ended(1, 0, where, Outcome.TURNED_AWAY), 100.0)
+    second = of(again, Send)
+    assert second and second[0].backend != where  # declined: another may have it
+    over = made.handle(ended(1, 1, second[0].backend, Outcome.TURNED_AWAY), 100.0)
+    assert of(over, Refuse) and made.throttles["t"].level == pytest.approx(level)
+    where = of(made.handle(ask(2, "r1"), 100.0), Send)[0].backend
+    lost = made.handle(ended(2, 0, where, Outcome.BROKEN), 100.0)
+    assert of(lost, Fail) and not of(lost, Send) and not of(lost, Refuse)
+
+
+def test_further_attempts_are_paid_from_the_fleets_budget() -> None:
+    made = edge(rate=0.0)
+    again = 0
+    for number in range(100):
+        where = of(made.handle(ask(number, tenant=""), 100.0), Send)[0].backend
+        more = of(made.handle(ended(number, 0, where, Outcome.ERROR), 100.0), Send)
+        again += len(more)
+        for send in more:
+            made.handle(ended(number, 1, send.backend, Outcome.SERVED), 100.0)
+    assert again <= 100 * 0.2 + 68 / 4
+
+
+def test_backends_that_tell_of_more_work_get_less() -> None:
+    made = edge(rate=0.0)
+    sent: dict[str, int] = {}
+    for number in range(200):
+        send = of(made.handle(ask(number, tenant=""), 100.0 + number / 1000), Send)[0]
+        sent[send.backend] = sent.get(send.backend, 0) + 1
+        load = (2.0, 6.0, 2.0) if send.backend == "b0" else (0.0, 0.0, 2.0)
+        made.handle(ended(number, 0, send.backend, Outcome.SERVED, load), 100.0 + number / 1000)
+    assert sent.get("b0", 0) < 40 and sent["b2"] > sent.get("b1", 0)  # and its own zone goes first
+
+
+def test_a_new_configuration_holds_for_throttles_that_are_there() -> None:
+    made = edge(rate=40.0)
+    made.handle(ask(1), 100.0)
+    made.handle(Configured(settings(gateways=8, rate=16.0)), 100.0)
+    throttle = made.throttles["t"]
+    assert throttle.plan.rate == 16.0 and throttle.rate == pytest.approx(2.0) and throttle.level <= 2.0
+
+
+def test_settings_are_checked_and_unknown_fields_ignored(tmp_path: Any) -> None:
+    path = tmp_path / "local.json"
+    path.write_text('{"node_name": 3}')
+    assert "no " in read_local({"EMBERSILL_CONFIG": str(path)}).error
+    assert "names no settings" in read_local({}).error
+    good = {
+        "node_name": "n", "ip_address": "10.0.0.1", "zone": "a",
+        "listen_addresses": {"front_http": "10.0.0.1:80"},
+        "internal_port_range": [7000, 7010], "seed_nodes": ["10.0.0.1:8000"], "first_start": True,
+        "counts_toward_quorum": False, "limits": {"memory_mb": 300, "file_descriptors": 4100}, "bounds": {},
+        "later": 1, "data_directory": None}
+    read = checked(good, Local, "settings")
+    assert read.is_ok() and "later" not in read.ok
+    assert checked({**good, "seed_nodes": "x"}, Local, "settings").error == "settings.seed_nodes: not a list"
--- a/tests/service/test_decided.py
+++ b/tests/service/test_decided.py
@@ -100,7 +100,7 @@
             if now >= noticed and not shared:
                 shared = True
                 old.handle(Shared(True), now)
-            if now >= parted and new.processes == 2:
+            if now >= parted and new.admission.processes == 2:
                 new.handle(Shared(False), now)
             for made, lives in ((old, now < parted), (new, now >= 101.0)):
                 if not lives:
@@ -113,7 +113,7 @@
                 level -= units
             # the first tenth of a second together, in which the older does not know, is all there is beyond
             assert level >= -0.1 * CAPPED.ceiling_rate, seed
-        assert new.processes == 1
+        assert new.admission.processes == 1
 
 
 def test_what_is_not_exactly_a_mark_or_a_ban_counts_as_none() -> None:
--- a/tests/test_throttle.py
+++ b/tests/test_throttle.py
@@ -59,10 +59,10 @@
     throttle = Throttle("c", PLAN, 2, 0.0, 0.0)
     made = gateway()
     throttle.own = 1.0
-    made.read_total(throttle, 4.0)  # smoothed to 2 of 4: own 1 and half the room of 2
+    made.totals.read_total(throttle, 4.0)  # smoothed to 2 of 4: own 1 and half the room of 2
     assert throttle.rate == pytest.approx(2.0)
     throttle.own = 3.0
-    made.read_total(throttle, 14.0)  # smoothed to 8, above the quota: 4 times 3/8
+    made.totals.read_total(throttle, 14.0)  # smoothed to 8, above the quota: 4 times 3/8
     assert throttle.rate == pytest.approx(1.5)
 
 
@@ -70,7 +70,7 @@
     made = gateway()
     throttle = Throttle("c", PLAN, 2, 0.0, 0.0)
     throttle.own, throttle.added, throttle.total = 3.0, 3.0, 6.0
-    made.read_total(throttle, 0.0)  # less than this gateway added itself: the name was forgotten
+    made.totals.read_total(throttle, 0.0)  # less than this gateway added itself: the name was forgotten
     assert throttle.total == 6.0
 
 
