Lists of backends outlive a loss of power, slices are told again, repeats go behind first tries

The core now keeps its list on disk (confirmed by a call within 2.2 beats or dropped), and gateways say at a link which slices they hold. Where a tenant's reserve is dry a try that comes again goes behind first ones: the token earns more.

--- a/embersill/edge/agreement.py
+++ b/embersill/edge/agreement.py
@@ -71,6 +71,7 @@
     store: str  # the disk's nonce
     begun: Begun | None = None
     remembered: Remembered | None = None
+    backends: bytes = b""  # the cell's last list, as it saved it
 
 
 @dataclass(slots=True)
--- a/embersill/edge/cell.py
+++ b/embersill/edge/cell.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from embersill.edge.agreement import Effects, Message
+from embersill.edge.agreement import Effects, Message, Save
 from embersill.edge.check import checked
 from embersill.edge.instances import DRAINING, Beat, Instance, Instances, instance
 from embersill.edge.roll import Hello, Roll
@@ -21,6 +21,8 @@
 
 MISSED = 3.4  # beats that did not come, after which a backend is taken to be lost
 ACKED_WITHIN = 0.5  # seconds that a leaving backend waits for the gateways' word, at most
+SAVE_EVERY = 0.3  # seconds between saves of the list, where it has changed
+CONFIRMED_WITHIN = 2.2  # beats in which a backend that only the disk remembers has to be heard of
 ADOPT_AFTER = 3.0  # seconds without its keeper after which a backend's next keeper watches over it
 
 
@@ -41,6 +43,30 @@
         self.leaving: dict[int, Leaving] = {}
         self.on_news: Callable[[list[Instance]], None] = lambda news: None
         self.now = 0.0
+        self.save_at, self.changed, self.saving = 0.0, False, False
+        self.restored: dict[str, float] = {}  # by id: known from the disk only, and until when
+
+    def restore(self, saved: bytes, now: float) -> list[Instance]:
+        """What the disk remembers serves at once, and only for as long as it takes a backend to call."""
+        told: list[Instance] = []
+        try:
+            if saved:
+                told = msgspec.msgpack.decode(saved, type=list[Instance])
+        except msgspec.MsgspecError:
+            return []  # it will be told anew
+        news = self.instances.merge([one for one in told if one.open], now)
+        self.restored = {one.id: now + CONFIRMED_WITHIN * self.beat_every for one in news}
+        return news
+
+    def save(self, now: float) -> None:
+        """Writes the list, so that after a loss of power backends need not be waited for."""
+        self.save_at, self.changed, self.saving = now + SAVE_EVERY, False, True
+        known = [one for one in self.instances.known.values() if one.open]
+
+        def then(good: bool) -> None:
+            self.saving = False
+
+        self.effects.saves.append(Save("backends", msgspec.msgpack.encode(known), then))
 
     @property
     def in_core(self) -> bool:
@@ -66,6 +92,8 @@
             return self.acked(peer, int(message["n"]))
         told = msgspec.convert(message["backends"], list[Instance])
         news = self.instances.merge(told, now)
+        for one in told:
+            self.restored.pop(one.id, None)
         self.effects.mail.append((peer, {"kind": "known", "n": message["n"]}))
         self.tell(news, but=peer)
         return None
@@ -75,6 +103,7 @@
         if not news:
             return 0
         self.on_news(news)
+        self.changed = True
         if self.in_core:
             message = self.message(news)
             self.effects.mail.extend((name, message) for name in self.roll.linked if name != but)
@@ -91,6 +120,7 @@
             return answered(refused(400, read.error if read.is_error() else "no id"))
         one = instance(name, read.ok, self.me.name)
         news = self.instances.hear(one, now)
+        self.restored.pop(name, None)
         keeper = self.roll.keeper(one.zone)
         control = self.me.control if keeper in ("", self.me.name) else self.roll.linked[keeper].control
         verdict = done({"heartbeat_address": control})
@@ -125,7 +155,14 @@
         if self.in_core:
             self.tell(self.instances.silent(now, MISSED * self.beat_every))
             self.adopt(now)
+            if self.changed and not self.saving and now >= self.save_at:
+                self.save(now)
         self.instances.forget(now)
+        late = [self.instances.known[name] for name, until in self.restored.items() if now >= until]
+        if late:
+            for one in late:
+                del self.restored[one.id]
+            self.tell(self.instances.merge([msgspec.structs.replace(one, lost=True) for one in late], now))
 
     def adopt(self, now: float) -> None:
         """Watches over what a lost keeper kept, so that a backend that ended with it is noticed."""
--- a/embersill/edge/deciding.py
+++ b/embersill/edge/deciding.py
@@ -22,6 +22,8 @@
 DRAWN = 5  # backends looked at in the zone, and so many anywhere
 FAR = 0.1  # of the aim that a backend of another zone has to be sooner by
 LEAST_OUT = 2.0  # attempts that may always be out at a backend from here
+SHORT_FOR = 1.0  # seconds after a reserve had nothing in which its tenant counts as short
+REPEATS_FROM = 0.5  # of a short tenant's bank, from which those that come again get a token
 DRY_FOR = 0.2  # seconds after which a reserve that had nothing is asked again
 
 
@@ -99,6 +101,20 @@
 
     strict = True
 
+    def admit(self, job: Job) -> None:
+        """Where a tenant's reserve is dry, one that comes again goes behind those that come first.
+
+        Both would take the same token, and the first one's answer is worth more.
+        """
+        throttle = job.throttle
+        throttle.refill(self.turn.now)
+        short = self.turn.now < throttle.dry_until + SHORT_FOR and throttle.plan.rate > 0
+        if short and job.request.repeat and throttle.level < REPEATS_FROM * throttle.bank:
+            throttle.note_demand(job.request.units, self.turn.now)
+            self.totals.start_counting(throttle)
+            return self.overflow(job, PERIOD)
+        return super().admit(job)
+
     def may_borrow(self, throttle: Throttle) -> bool:
         return throttle.plan.rate > 0 and not throttle.asking and self.turn.now >= throttle.dry_until
 
--- a/embersill/edge/doors.py
+++ b/embersill/edge/doors.py
@@ -26,6 +26,8 @@
 }
 SOON = b"Retry-After: 0.2\r\n"  # until a gateway that has just started knows more
 JSON = b"Content-Type: application/json\r\n"
+REPEAT_BELOW = 0.985  # of the longest time left that a first try has, less what its way takes
+FADES = 0.9995  # times, by each request, that the longest is remembered
 MOST_LEFT = 3600.0  # seconds that a client may say it waits
 INTERFACE = Path(__file__).with_name("openapi.json")
 
@@ -36,6 +38,13 @@
     def __init__(self, driver: Callable[[], Driver], chance: random.Random) -> None:
         self.driver, self.chance = driver, chance
         self.table: Table | None = None
+        self.longest: dict[str, float] = {}  # by route, the most time that clients come with
+
+    def is_repeat(self, way: Way, left: float) -> bool:
+        """One that comes with less time than others on its route was here before, or at another gateway."""
+        longest = self.longest.get(way.name, 0.0)
+        self.longest[way.name] = max(longest * FADES, left)
+        return left < REPEAT_BELOW * longest
 
     def take(self, connection: ClientConnection, exchange: Exchange, method: bytes) -> None:
         table, driver = self.table, self.driver()
@@ -52,13 +61,14 @@
         call_id = headers.get(b"x-attempt-id", b"")
         if call_id and driver.is_open(call_id):
             raise BadRequest(409, "a request with this X-Attempt-Id is open")
+        repeat = bool(left) and self.is_repeat(way, budget)
         body, rest = connection.body, None
         if connection.body_size > 65536:
             body, rest = [], connection.body
         head = self.head(method, connection.target, headers, connection.body_size, call_id, tenant)
         exchange.number = driver.take(Call(
             call_id, connection.received, min(budget, way.timeout), way.name, tenant, tenant, 1.0, 0, -1,
-            False, head, b"".join(body), way.service(self.chance.random()), rest), exchange)
+            repeat, head, b"".join(body), way.service(self.chance.random()), rest), exchange)
 
     def tenant(self, table: Table, way: Way, headers: dict[bytes, bytes]) -> str:
         """Whose key the request carries; the public plan's name where it needs none."""
--- a/embersill/edge/node.py
+++ b/embersill/edge/node.py
@@ -59,10 +59,18 @@
         self.on_table: Callable[[Table], None] = lambda table: None
         self.on_instances: Callable[[list[Any]], None] = lambda news: None
         self.on_lent: Callable[[dict[str, float]], None] = lambda lent: None
+        self.on_holding: Callable[[], dict[str, float]] = dict
         self.on_slices: Callable[[dict[str, float]], None] = lambda slices: None
         self.agreement.load(stored)
         if self.agreement.roster is not None:
             self.roll.roster = self.agreement.roster
+        self.backends = stored.backends
+
+    def begin(self) -> None:
+        """Once whoever drives this listens: what the disk remembers serves from the start."""
+        news = self.cell.restore(self.backends, self.now)
+        if news:
+            self.on_instances(news)
 
     # links
 
@@ -84,6 +92,10 @@
         self.cell.linked(hello.name)
         if self.roll.told >= 0:
             mail.append((hello.name, {"kind": "present", "count": self.roll.told}))
+        if hello.core:
+            holding = self.on_holding()
+            if holding:
+                mail.append((hello.name, {"kind": "holds", "slices": holding}))
         self.catch_up()
 
     def unlinked(self, name: str, now: float) -> None:
@@ -115,6 +127,8 @@
             self.roll.heard(peer, message)
         elif kind == "use":
             self.sums.tell(peer, {str(k): float(v) for k, v in message["use"].items()}, self.now)
+        elif kind == "holds":
+            self.sums.holds(peer, {str(k): float(v) for k, v in message["slices"].items()}, self.now)
         elif kind == "totals":
             slices = self.slices(peer, message["names"])
             self.effects.mail.append((peer, {"kind": "sliced", "slices": slices}))
--- a/embersill/edge/program.py
+++ b/embersill/edge/program.py
@@ -69,6 +69,7 @@
         self.node = Node(hello, seeds, stored, self.chance, now, local.get("heartbeat_interval_s", 1.0))
         borne = local.get("fault_tolerance", {"machine_failures": 1})["machine_failures"]
         self.node.founding.least = 2 * borne + 1
+        self.node.on_holding = self.holding
         self.node.on_table, self.node.on_instances = self.table_came, self.instances_came
         self.count = 1
         descriptors = int(local["limits"]["file_descriptors"]) - FILES - OWN
@@ -108,6 +109,12 @@
     def is_ready(self) -> bool:
         return not self.stopping and self.node.table is not None and bool(self.driver.serving)
 
+    def holding(self) -> dict[str, float]:
+        """Slices that were told and still decide, by tenant."""
+        gateway, now = self.driver.gateway, self.clock()
+        throttles = gateway.throttles if isinstance(gateway, EdgeGateway) else {}
+        return {name: throttle.rate for name, throttle in throttles.items() if throttle.read_until > now}
+
     # what the node tells
 
     def table_came(self, table: Table) -> None:
@@ -189,6 +196,7 @@
                             (self.control, listen.get("control_plane"))):
             if text:
                 front.listen(read_address(text))
+        self.node.begin()
         self.tick()
         log.info("started node=%s zone=%s core=%s", self.node.me.name, self.local["zone"], self.node.me.core)
 
--- a/embersill/edge/store.py
+++ b/embersill/edge/store.py
@@ -84,7 +84,8 @@
             return Ok(Stored(
                 found["store"].decode(),
                 msgspec.json.decode(begun, type=Begun) if begun else None,
-                msgspec.msgpack.decode(kept, type=Remembered) if kept else None))
+                msgspec.msgpack.decode(kept, type=Remembered) if kept else None,
+                found.get("backends", b"")))
         except (lmdb.Error, OSError) as error:
             return Error(f"{self.folder}: {error}")
         except (msgspec.MsgspecError, KeyError) as error:
--- a/embersill/edge/sums.py
+++ b/embersill/edge/sums.py
@@ -14,6 +14,7 @@
 
 BLEND = 0.5  # weight of the last second in a gateway's smoothed demand
 FRESH = 1.6  # seconds that a word stands: told each second, one may come late
+GRACE = 0.8  # seconds after a start in which gateways link and say which slices they still use
 HELD = 2.6  # seconds that a slice may be used after it was told, and a little for its way
 LEAST_SLICE = 0.02  # of the even slice that is always given, so that a tenant that moves can be heard of
 ROOM_PART = 0.35  # of the room under a quota that slices split; the rest flows into the reserve
@@ -55,6 +56,13 @@
                 before = before if now - at <= FRESH else 0.0
                 account.demand[gateway] = before + BLEND * (max(asked, 0.0) - before), now
 
+    def holds(self, gateway: str, slices: Mapping[str, float], now: float) -> None:
+        """A gateway's slices of before, from a life of this account that is lost."""
+        for tenant, rate in slices.items():
+            account = self.account(tenant, now)
+            if account is not None and gateway not in account.slices:
+                account.slices[gateway] = max(rate, 0.0), now
+
     def total(self, tenant: str, even: float, silent: Iterable[str], now: float) -> float:
         """Requests a second asked for, where a silent gateway counts for its even slice at least."""
         account, away = self.accounts.get(tenant), set(silent)
@@ -79,7 +87,7 @@
         total = max(self.total(tenant, even, silent, now), own)
         rate = slice_of(own, total, quota, max(gateways, 1), ROOM_PART)
         rate = min(rate, quota - self.held(account, even, silent, now, gateway))
-        if now - self.born < HELD:  # what was told by whoever did this before may still be used
+        if now - self.born < GRACE:  # what was told by whoever did this before may still be used
             rate = min(rate, even)
         rate = max(rate, LEAST_SLICE * even)
         account.slices[gateway] = rate, now
@@ -92,7 +100,7 @@
         if account is None or quota <= 0:
             return 0.0
         even = quota / max(gateways, 1)
-        free = max(quota - self.held(account, even, silent, now), 0.0) if now - self.born >= HELD else 0.0
+        free = max(quota - self.held(account, even, silent, now), 0.0) if now - self.born >= GRACE else 0.0
         above = self.overshoot * (WINDOW * quota + burst) + self.slack
         depth = burst * free / quota + RESERVE_DEPTH * above
         flow = free + RESERVE_FLOW * above / WINDOW
