A late answer of another request is passed over; a damaged disk keeps nobody from being served

Counts of gateways outlive a restart, so that slices are not dealt to too few. Repeated header lines become one list.

--- a/embersill/council/terms.py
+++ b/embersill/council/terms.py
@@ -16,7 +16,7 @@
 MOST_MEMBERS = 15
 MOST_KEYS = 256
 MOST_KEY = 64  # characters
-MOST_VALUE = 8 << 20  # bytes: a configuration of some 20,000 routes
+MOST_VALUE = 4 << 20  # bytes: a configuration of some 10,000 routes
 
 
 class CouncilTerms(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/embersill/edge/agreement.py
+++ b/embersill/edge/agreement.py
@@ -72,6 +72,7 @@
     begun: Begun | None = None
     remembered: Remembered | None = None
     backends: bytes = b""  # the cell's last list, as it saved it
+    gateways: int = 0  # how many there were
 
 
 @dataclass(slots=True)
--- a/embersill/edge/cell.py
+++ b/embersill/edge/cell.py
@@ -43,7 +43,7 @@
         self.leaving: dict[int, Leaving] = {}
         self.on_news: Callable[[list[Instance]], None] = lambda news: None
         self.now = 0.0
-        self.save_at, self.changed, self.saving = 0.0, False, False
+        self.save_at, self.changed, self.saving, self.counted = 0.0, False, False, 0
         self.restored: dict[str, float] = {}  # by id: known from the disk only, and until when
 
     def restore(self, saved: bytes, now: float) -> list[Instance]:
@@ -61,12 +61,14 @@
     def save(self, now: float) -> None:
         """Writes the list, so that after a loss of power backends need not be waited for."""
         self.save_at, self.changed, self.saving = now + SAVE_EVERY, False, True
+        self.counted = self.roll.count
         known = [one for one in self.instances.known.values() if one.open]
 
         def then(good: bool) -> None:
             self.saving = False
 
         self.effects.saves.append(Save("backends", msgspec.msgpack.encode(known), then))
+        self.effects.saves.append(Save("gateways", b"%d" % self.roll.count, then))
 
     @property
     def in_core(self) -> bool:
@@ -155,6 +157,7 @@
         if self.in_core:
             self.tell(self.instances.silent(now, MISSED * self.beat_every))
             self.adopt(now)
+            self.changed = self.changed or self.roll.count > self.counted
             if self.changed and not self.saving and now >= self.save_at:
                 self.save(now)
         self.instances.forget(now)
--- a/embersill/edge/node.py
+++ b/embersill/edge/node.py
@@ -65,6 +65,8 @@
         if self.agreement.roster is not None:
             self.roll.roster = self.agreement.roster
         self.backends = stored.backends
+        if stored.gateways:
+            self.roll.remember(stored.gateways, now)
 
     def begin(self) -> None:
         """Once whoever drives this listens: what the disk remembers serves from the start."""
--- a/embersill/edge/program.py
+++ b/embersill/edge/program.py
@@ -249,5 +249,14 @@
     try:
         store = Store(Path(folder), local["limits"].get("disk_mb", 64.0))
     except Exception as error:
-        return Error(f"{folder}: {error}")
-    return store.begin(lambda: nonce).map(lambda stored: (local, store, stored))
+        return Ok((local, do_without(f"{folder}: {error}"), Stored(nonce)))
+    begun = store.begin(lambda: nonce)
+    if begun.is_error():
+        return Ok((local, do_without(begun.error), Stored(nonce)))
+    return Ok((local, store, begun.ok))
+
+
+def do_without(why: str) -> Store | None:
+    """A disk that can't be believed keeps nobody from being served: this gateway holds no state then."""
+    log.error("disk not used: %s", why)
+    return None
--- a/embersill/edge/roll.py
+++ b/embersill/edge/roll.py
@@ -14,6 +14,7 @@
 from embersill.edge.agreement import Effects, Roster
 
 DROP_AFTER = 60.0  # seconds after which a gateway that nobody sees is no more counted on
+LINKED_WITHIN = 4.0  # seconds after a start in which gateways that were there link again
 SILENT_AFTER = 1.5  # seconds without a link from which a gateway may be on its own
 Message = dict[str, Any]
 
@@ -44,7 +45,7 @@
         self.others: dict[str, int] = {}  # by core member: how many gateways it counts
         self.told = -1
         self.roster: Roster | None = None
-        self.born = now
+        self.floor, self.floor_until = 0, now  # gateways there were before a restart: they will link again
         self.count = 1
 
     def link(self, hello: Hello, now: float) -> None:
@@ -93,7 +94,7 @@
             if now - since > DROP_AFTER:
                 del self.away[name], self.seen[name]
         if self.roster is not None and self.me.name in self.roster.members:
-            self.count = len(self.seen) + 1
+            self.count = max(len(self.seen) + 1, self.floor if now < self.floor_until else 0)
             if self.count != self.told:
                 self.told = self.count
                 for name in self.linked:
@@ -101,6 +102,10 @@
         elif self.others:
             self.count = max(self.others.values())
 
+    def remember(self, count: int, now: float) -> None:
+        """So many there were before this process started: none is thought away until they had their time."""
+        self.floor, self.floor_until = count, now + LINKED_WITHIN
+
     def heard(self, peer: str, message: Message) -> None:
         if self.roster is not None and peer in self.roster.members:
             self.others[peer] = max(int(message["count"]), 1)
--- a/embersill/edge/store.py
+++ b/embersill/edge/store.py
@@ -85,10 +85,10 @@
                 found["store"].decode(),
                 msgspec.json.decode(begun, type=Begun) if begun else None,
                 msgspec.msgpack.decode(kept, type=Remembered) if kept else None,
-                found.get("backends", b"")))
+                found.get("backends", b""), int(found.get("gateways", b"0"))))
         except (lmdb.Error, OSError) as error:
             return Error(f"{self.folder}: {error}")
-        except (msgspec.MsgspecError, KeyError) as error:
+        except (msgspec.MsgspecError, KeyError, ValueError) as error:
             return Error(f"{self.folder}: a value that is none: {error}")
 
     def start(self, done: Callable[[Save, bool], None]) -> None:
--- a/embersill/net/backends.py
+++ b/embersill/net/backends.py
@@ -24,6 +24,7 @@
 SLOW_STALLED = 2.0  # seconds without a byte, there: backends write as slowly as they like
 STREAM_STALLED = 10.0  # the same once it is being passed on, when giving up loses the request
 STALLED = 0.5  # seconds that the rest of an answer may take once it has begun: what it has is ready by then
+MOST_STRANGERS = 2  # answers of other requests that are passed over on one connection
 RESTED = 0.01  # seconds unused before another request goes out: what comes behind an answer shows by then
 IDLE_PART = 0.5  # of the backends' idle limit after which a connection is closed here: well before theirs
 LEAST_IDLE = 0.05  # seconds that a connection may stay unused, however many kept ones turn out to be dead
@@ -168,7 +169,7 @@
         self.start_answer()
 
     def start_answer(self) -> None:
-        self.taken = self.status = 0
+        self.taken = self.status = self.strangers = 0
         self.complete = self.keep = self.surplus = self.garbled = self.begun = self.in_body = False
         self.length: int | None = None
         self.chunked = False
@@ -261,7 +262,11 @@
             return
         self.begun = False
         status = self.parser.get_status_code()
-        if not is_interim(status):  # an interim answer goes before the real one
+        if self.answers_to and self.attempt is not None and self.answers_to != self.attempt.id:
+            self.strangers += 1  # another request's, late: this one's own is still to come
+            self.in_body, self.length, self.chunked = False, None, False
+            self.garbled = self.garbled or self.strangers > MOST_STRANGERS
+        elif not is_interim(status):  # an interim answer goes before the real one
             self.complete, self.status = True, status
             self.keep = self.parser.should_keep_alive()  # the parser knows only while in this call
 
@@ -362,7 +367,7 @@
             answer = Answer(Outcome.BROKEN)
         whole = answer.outcome is not Outcome.BROKEN
         # the connection is free before anybody hears of the answer: the next attempt may want it
-        if whole and self.keep and not (self.unsent or self.surplus or self.garbled):
+        if whole and self.keep and not (self.unsent or self.surplus or self.garbled or self.strangers):
             self.attempt = attempt.connection = None
             self.pool.was_alive(self.rested)
             self.pool.put_back(self)
--- a/embersill/net/clients.py
+++ b/embersill/net/clients.py
@@ -43,7 +43,8 @@
 ACCEPTS = 64  # connections taken in at one go, so that those at hand get their turn
 
 SINGLE = frozenset((b"x-call-id", b"x-call-class", b"plan", b"x-budget", b"idempotency-key", b"quota-info",
-                    b"x-again", b"content-length", b"host"))
+                    b"x-again", b"content-length", b"host", b"x-attempt-id", b"x-key",
+                    b"x-deadline-remaining-ms"))
 REASONS = {
     200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
     408: b"Request Timeout", 409: b"Conflict", 413: b"Content Too Large", 429: b"Too Many Requests",
@@ -156,6 +157,8 @@
         name, headers = name.lower(), self.headers
         if name in headers and name in SINGLE:
             self.bad = BadRequest(400, f"{name.decode()} stands twice")
+        elif name in headers:  # a list in several lines is one in one line
+            value = headers[name] + (b"; " if name == b"cookie" else b", ") + value
         headers[name] = value.strip()
 
     def on_headers_complete(self) -> None:
--- a/tests/council/test_member.py
+++ b/tests/council/test_member.py
@@ -12,7 +12,7 @@
 )
 from embersill.council.messages import Question as Asked
 from embersill.council.register import Register
-from embersill.council.terms import MOST_KEYS
+from embersill.council.terms import MOST_VALUE, MOST_KEYS
 from embersill.tiers.messages import BadFrame
 from tests.council.helpers import Bench, value
 
@@ -288,7 +288,7 @@
 
 def test_a_value_over_the_bound_is_refused_by_whoever_reads_it() -> None:
     origin = Origin("m0", Life(1, "n"), 0)
-    entry = Entry(1, "w", b"x" * (1 << 15))
+    entry = Entry(1, "w", b"x" * (MOST_VALUE + 1))
     frame = packed(Asked(1, Accept(origin, "k", Ballot(1, "m0", 1), entry, Ballot(2, "m0", 1))))
     with pytest.raises(BadFrame):
         read_question(frame)
