Gateways of a zone share what is out at its backends, and choose by it

Ruled out: probes (dear), fewer backends a gateway (no pooling). Each gateway tells the zone's keeper what it has out; the keeper tells the sums.

--- a/embersill/edge/deciding.py
+++ b/embersill/edge/deciding.py
@@ -8,6 +8,7 @@
 
 import math
 from collections import deque
+from collections.abc import Callable
 
 from embersill.admission import Admission
 from embersill.attempts import Attempts
@@ -15,9 +16,9 @@
 from embersill.control import Gateway
 from embersill.totals import READING_LIFE
 from embersill.fleet import Fleet
-from embersill.interface import Backend, Borrow, Configured, Lent, Settings, Sliced
+from embersill.interface import AttemptEnded, Backend, Borrow, Configured, Lent, Others, Settings, Sliced
 from embersill.throttle import PERIOD, Throttle
-from embersill.work import EPS, Job, Server
+from embersill.work import EPS, Attempt, Job, Server
 
 DRAWN = 5  # backends looked at in the zone, and so many anywhere
 FAR = 0.1  # of the aim that a backend of another zone has to be sooner by
@@ -86,6 +87,20 @@
 
 
 class EdgeAttempts(Attempts):
+    """Attempts whose comings and goings are told to the keepers of the backends' zones."""
+
+    on_flight: Callable[[Server], None] = staticmethod(lambda server: None)
+
+    def count_out(self, job: Job, attempt: Attempt) -> None:
+        super().count_out(job, attempt)
+        self.on_flight(attempt.server)
+
+    def attempt_ended(self, event: AttemptEnded) -> None:
+        job = self.jobs.get(event.request)
+        super().attempt_ended(event)
+        if job is not None and 0 <= event.attempt < len(job.attempts):
+            self.on_flight(job.attempts[event.attempt].server)
+
     def answer(self, job: Job, retry_after: float, over_quota: bool = False) -> None:
         """A request that came to backends and that none of them ran has used nothing of its quota."""
         throttle = job.throttle
@@ -161,7 +176,8 @@
         admission = self.admission
         assert isinstance(admission, EdgeAdmission)
         self.handlers |= {
-            Configured: self.configured, Lent: admission.lent, Sliced: admission.sliced}
+            Configured: self.configured, Lent: admission.lent, Sliced: admission.sliced,
+            Others: self.others}
         self.replan = admission.replan
 
     def parts(self) -> tuple[Backends, Attempts, Admission]:
@@ -169,6 +185,13 @@
         attempts = EdgeAttempts(self.turn, self.totals, backends)
         return backends, attempts, EdgeAdmission(self.turn, self.totals, attempts)
 
+    def others(self, event: Others) -> None:
+        """What other gateways have out at backends, by their keepers."""
+        for name, count in event.out.items():
+            server = self.servers.get(name)
+            if server is not None:
+                server.others = count
+
     def configured(self, event: Configured) -> None:
         """Takes over classes and plans; what is under way keeps its class."""
         self.turn.configure(event.settings)
--- a/embersill/edge/node.py
+++ b/embersill/edge/node.py
@@ -18,6 +18,7 @@
 from embersill.edge.document import EMPTY, State, read_document
 from embersill.edge.founding import Founding
 from embersill.edge.roll import Hello, Roll
+from embersill.edge.loads import Loads
 from embersill.edge.ring import by_place
 from embersill.edge.routes import Table
 from embersill.edge.sums import Sums
@@ -47,6 +48,7 @@
         self.agreement.on_state, self.agreement.on_roster = self.adopt, self.seated
         self.cell = Cell(hello, self.roll, self.effects, beat_every)
         self.cell.on_news = self.news
+        self.loads = Loads(hello, self.roll, self.effects)
         self.founding = Founding(hello, self.roll, self.agreement, now)
         self.sums = Sums(now)
         self.state: State = EMPTY
@@ -92,6 +94,7 @@
         if self.state["version"] > hello.version:
             mail.append((hello.name, {"kind": "version", "version": self.state["version"]}))
         self.cell.linked(hello.name)
+        self.loads.linked(hello.name)
         if self.roll.told >= 0:
             mail.append((hello.name, {"kind": "present", "count": self.roll.told}))
         if hello.core:
@@ -105,6 +108,7 @@
         self.roll.unlink(name, self.now)
         self.newest.pop(name, None)
         self.cell.unlinked(name)
+        self.loads.unlinked(name)
 
     def heard(self, peer: str, message: Message, now: float) -> None:
         """A message of a linked peer's; KeyError, TypeError, ValueError for one that is none."""
@@ -127,6 +131,10 @@
             self.cell.heard(peer, message, self.now)
         elif kind == "present":
             self.roll.heard(peer, message)
+        elif kind == "out":
+            self.loads.told(peer, {str(k): int(v) for k, v in message["out"].items()})
+        elif kind == "loads":
+            self.loads.heard({str(k): int(v) for k, v in message["out"].items()})
         elif kind == "use":
             self.sums.tell(peer, {str(k): float(v) for k, v in message["use"].items()}, self.now)
         elif kind == "holds":
--- a/embersill/edge/program.py
+++ b/embersill/edge/program.py
@@ -15,7 +15,7 @@
 from expression import Error, Ok, Result
 
 from embersill.edge.agreement import Save, Stored
-from embersill.edge.deciding import EdgeGateway
+from embersill.edge.deciding import EdgeAttempts, EdgeGateway
 from embersill.edge.dialect import EdgeDialect
 from embersill.edge.doors import ControlDesk, FrontDesk, ReadyDesk
 from embersill.edge.instances import GONE, Instance
@@ -26,11 +26,12 @@
 from embersill.edge.routes import WARM_WITHIN, Table, settings_for
 from embersill.edge.store import Store
 from embersill.edge.tally import Tally
-from embersill.interface import Backend, Configured, ListKind, Settings, Status
+from embersill.interface import Backend, Configured, ListKind, Others, Settings, Status
 from embersill.net.backends import Pool
 from embersill.net.clients import Front
 from embersill.net.discovery import Entry, Listing
 from embersill.net.driver import Driver
+from embersill.work import Server
 
 TICK = 0.02  # seconds between looks at what is due
 DIAL_WITHIN = 0.6  # seconds for a connection to a backend
@@ -44,6 +45,7 @@
 STOP_AT_LATEST = 0.7  # seconds before the platform's own end
 SEEN_LEAVING = 2.3  # seconds after SIGTERM in which clients may still be sent here
 SHORT = 0.05
+SHARED_AFTER = 0.002  # seconds in which what is out at backends is gathered before it is told
 
 log = logging.getLogger("embersill.edge")
 
@@ -80,6 +82,13 @@
         gateway = EdgeGateway(self.settings(), seed, now)
         self.driver = Driver(gateway, self.clock, self.pool)
         self.driver.busy = 503
+        self.moved: dict[str, Server] = {}  # backends at which more or less is out since it was shared
+        attempts = gateway.attempts
+        assert isinstance(attempts, EdgeAttempts)
+        attempts.on_flight = self.flight_moved
+        loads = self.node.loads
+        loads.on_others = lambda others: self.driver.post(Others(others))
+        loads.on_due = lambda delay: self.loop.call_later(delay, self.loads_due)
         self.tally = Tally(self.node, self.clock, self.driver.post)
         self.tally.flushed = self.carry_out
         self.driver.counter, self.driver.reserve = self.tally, self.tally.borrow
@@ -115,6 +124,20 @@
         throttles = gateway.throttles if isinstance(gateway, EdgeGateway) else {}
         return {name: throttle.rate for name, throttle in throttles.items() if throttle.read_until > now}
 
+    def flight_moved(self, server: Server) -> None:
+        if not self.moved:
+            self.loop.call_later(SHARED_AFTER, self.share_loads)
+        self.moved[server.backend.address] = server
+
+    def share_loads(self) -> None:
+        moved, self.moved = self.moved, {}
+        self.node.loads.share({name: (s.backend.zone, s.flight) for name, s in moved.items()})
+        self.carry_out()
+
+    def loads_due(self) -> None:
+        self.node.loads.flush()
+        self.carry_out()
+
     # what the node tells
 
     def table_came(self, table: Table) -> None:
@@ -130,6 +153,8 @@
         entries = []
         for one in news:
             ended = one.state == GONE or one.lost
+            if ended:
+                self.node.loads.forget(one.id)
             status = Status.SERVING if one.open else Status.GONE if ended else Status.DRAINING
             started = self.known_start(one.id)
             if started is None and one.cold > 0:
--- a/embersill/interface.py
+++ b/embersill/interface.py
@@ -279,6 +279,13 @@
     out: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Others:
+    """Attempts that other gateways have out at backends; below nought where that is not known."""
+
+    out: dict[str, int]
+
+
 @dataclass(frozen=True, slots=True)
 class Sliced:
     """This gateway's slice of a customer's quota, in units a second, by whoever sums the demand."""
@@ -311,7 +318,7 @@
 
 Event = (
     Request | BackendList | ClientLeft | StreamBegun | AttemptEnded | Counted | Probed | TimerDue | Allotted
-    | Inherited | Question | Ruled | Held | Shared | Configured | Lent | Sliced
+    | Inherited | Question | Ruled | Held | Shared | Configured | Lent | Sliced | Others
 )
 
 
--- a/embersill/work.py
+++ b/embersill/work.py
@@ -76,6 +76,7 @@
         self.bad = 0.0  # what is held against it: doubles and one more for each failure, halves with time
         self.full: dict[tuple[str, str], float] = {}  # class and plan: until when it is passed over
         self.told_work, self.told_at, self.sent_since = 0.0, now, 0.0
+        self.others = -1  # attempts that other gateways have out there, where that is told
         self.limit, self.least = limit, max(1.0, limit * LEAST_LIMIT / START_LIMIT)  # attempts out from here
 
     def tell_load(self, load: tuple[float, ...], now: float) -> None:
@@ -84,6 +85,8 @@
 
     def work(self, now: float) -> float:
         """Requests there, as far as can be known: what it last told fades, what is out from here is sure."""
+        if self.others >= 0:
+            return float(self.others + self.flight)
         told = self.told_work * 0.5 ** ((now - self.told_at) / LOAD_LIFE) if self.told_work else 0.0
         return max(told + self.sent_since, float(self.flight))
 
--- /dev/null
+++ b/tests/edge/test_loads.py
@@ -0,0 +1,99 @@
+"""What is out at backends: keepers' sums are what all gateways have out, once nothing is under way."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from embersill.edge.agreement import Effects, Roster, Seat
+from embersill.edge.loads import Loads
+from embersill.edge.roll import Hello, Roll
+
+ZONES = {"k1": "a", "g1": "a", "g2": "a", "k2": "b", "g3": "b"}
+
+
+def hello(name: str) -> Hello:
+    return Hello(name, name, ZONES[name], name, name.startswith("k"), "s", "b")
+
+
+class Zone:
+    """Gateways whose links carry mail in order, late by a seed."""
+
+    def __init__(self, seed: int) -> None:
+        self.chance = random.Random(seed)
+        self.effects = {name: Effects() for name in ZONES}
+        self.rolls = {name: Roll(hello(name), [], self.effects[name], 0.0) for name in ZONES}
+        self.loads = {name: Loads(hello(name), self.rolls[name], self.effects[name]) for name in ZONES}
+        self.others: dict[str, dict[str, int]] = {name: {} for name in ZONES}
+        self.due: set[str] = set()
+        for name, loads in self.loads.items():
+            self.rolls[name].roster = Roster(1, {"k1": Seat("k1", "s"), "k2": Seat("k2", "s")})
+            loads.on_due = lambda delay, name=name: self.due.add(name)  # type: ignore[misc]
+            loads.on_others = self.others[name].update
+        for one in ZONES:
+            for other in ZONES:
+                if one != other and "k" in one[0] + other[0]:
+                    self.rolls[one].link(hello(other), 0.0)
+
+    def carry(self, least: int = 0) -> None:
+        """Brings some of what is under way, the oldest of a sender first."""
+        for _ in range(10000):
+            ready = [name for name, effects in self.effects.items() if effects.mail]
+            if not ready and not self.due or least and self.chance.random() < 0.1:
+                return
+            if self.due and (not ready or self.chance.random() < 0.3):
+                self.loads[self.due.pop()].flush()
+                continue
+            sender = self.chance.choice(ready)
+            to, message = self.effects[sender].mail.pop(0)
+            if to not in self.rolls[sender].linked:
+                continue
+            if message["kind"] == "out":
+                self.loads[to].told(sender, message["out"])
+            else:
+                self.loads[to].heard(message["out"])
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_sums_are_what_all_have_out_also_after_links_were_lost(seed: int) -> None:
+    zone = Zone(seed)
+    out: dict[str, dict[str, tuple[str, int]]] = {name: {} for name in ZONES}
+    for _ in range(300):
+        name, backend = zone.chance.choice(sorted(ZONES)), zone.chance.choice(["x1", "x2", "y1"])
+        out[name][backend] = {"x": "a", "y": "b"}[backend[0]], zone.chance.randrange(4)
+        zone.loads[name].share(out[name])
+        zone.carry(least=1)
+        if zone.chance.random() < 0.05:
+            keeper, gateway = zone.chance.choice(["k1", "k2"]), zone.chance.choice(["g1", "g2", "g3"])
+            zone.carry()
+            for one, other in ((keeper, gateway), (gateway, keeper)):
+                zone.rolls[one].unlink(other, 0.0)
+                zone.loads[one].unlinked(other)
+            for one, other in ((keeper, gateway), (gateway, keeper)):
+                zone.rolls[one].link(hello(other), 0.0)
+                zone.loads[one].linked(other)
+    zone.carry()
+    for keeper, names in (("k1", ("x1", "x2")), ("k2", ("y1",))):
+        for backend in names:
+            whole = sum(told.get(backend, ("", 0))[1] for told in out.values())
+            assert zone.loads[keeper].sums.get(backend, 0) == whole
+            for name in ZONES:
+                if ZONES[name] == ZONES[keeper] and zone.others[name].get(backend, -1) >= 0:
+                    assert zone.others[name][backend] >= 0
+    assert not zone.loads["k1"].changed and not zone.loads["k2"].changed
+
+
+def test_a_gateway_hears_what_the_others_have_out_and_not_its_own() -> None:
+    zone = Zone(1)
+    zone.loads["g1"].share({"x1": ("a", 2)})
+    zone.loads["g3"].share({"x1": ("a", 1)})
+    zone.carry()
+    assert zone.others["g1"] == {"x1": 1} and zone.others["g2"] == {"x1": 3} and zone.others["g3"] == {}
+    zone.rolls["g1"].unlink("k1", 0.0)
+    zone.loads["g1"].unlinked("k1")
+    assert zone.others["g1"] == {"x1": -1}  # the keeper is away: nobody knows
+    zone.rolls["k1"].unlink("g1", 0.0)
+    zone.loads["k1"].unlinked("g1")
+    zone.carry()
+    assert zone.others["g2"] == {"x1": 1}  # what a lost gateway had out is over
