A core without disks keeps the state in memory; at most nine members, over all zones

Need: on deployments where no machine has a disk every one that counts is the core. Nine seats at most, a zone in turn; the others wait for one that is gone.

--- a/embersill/edge/founding.py
+++ b/embersill/edge/founding.py
@@ -11,6 +11,7 @@
 from embersill.edge.document import EMPTY
 from embersill.edge.roll import Hello, Roll
 
+MOST_SEATS = 9  # members: more would agree no better, only slower
 SETTLED = 1.0  # seconds without a further core machine after which the first epoch is founded
 AT_LATEST = 4.0  # seconds after which it is founded with those that are there
 GONE_AFTER = 2.5  # seconds without a link from which a newcomer may take a member's place
@@ -18,6 +19,15 @@
 RESEAT_EVERY = 1.0  # seconds between attempts
 
 
+def spread(cores: list[Hello]) -> list[Hello]:
+    """One of each zone in turn, so that seats are not all in a few."""
+    zones: dict[str, list[Hello]] = {}
+    for hello in sorted(cores, key=lambda hello: hello.name):
+        zones.setdefault(hello.zone, []).append(hello)
+    rounds = max((len(names) for names in zones.values()), default=0)
+    return [names[n] for n in range(rounds) for _, names in sorted(zones.items()) if n < len(names)]
+
+
 def order(ip: str) -> tuple[int, ...]:
     return tuple(int(part) for part in ip.split("."))
 
@@ -50,7 +60,7 @@
             return
         if now - self.last >= SETTLED and len(self.roll.linked) >= len(self.roll.seeds) or (
                 now - self.born >= AT_LATEST):
-            members = {hello.name: Seat(hello.ip, hello.store) for hello in cores}
+            members = {hello.name: Seat(hello.ip, hello.store) for hello in spread(cores)[:MOST_SEATS]}
             self.agreement.begin(Roster(1, members), EMPTY)
             self.send_all()
 
@@ -77,7 +87,7 @@
         if gone and newcomers or (
                 gone and len(members) > self.least and now - gone[0][0] >= LEFT_OUT_AFTER):
             del members[gone[0][1]]
-        if newcomers:
+        if newcomers and len(members) < MOST_SEATS:
             members[newcomers[0].name] = Seat(newcomers[0].ip, newcomers[0].store)
         if members != roster.members:
             self.again_at = now + RESEAT_EVERY
--- a/embersill/edge/program.py
+++ b/embersill/edge/program.py
@@ -63,7 +63,8 @@
         now = self.clock()
         control = local["listen_addresses"].get("control_plane", f"{local['ip_address']}:0")
         seeds = [read_address(text)[0] for text in local["seed_nodes"]]
-        core = store is not None and local["counts_toward_quorum"]
+        # where no machine has a disk those that count keep the state in memory, and learn it anew
+        core = local["counts_toward_quorum"] and (store is not None or not local.get("data_directory"))
         hello = Hello(
             name, local["ip_address"], local["zone"], control, core,
             stored.store, f"{self.chance.getrandbits(48):012x}", first=local["first_start"],
--- a/tests/edge/test_system.py
+++ b/tests/edge/test_system.py
@@ -127,6 +127,24 @@
     fleet.settled()
 
 
+def test_a_core_without_disks_learns_what_a_restart_forgets() -> None:
+    fleet = Fleet(8, 12, 0, disks=False)
+    fleet.run(4.0)
+    assert until_taken(fleet, change(1, 0)) == 200
+    roster = fleet.machines[0].node.agreement.roster  # type: ignore[union-attr]
+    assert roster is not None and len(roster.members) == 9  # seats in all zones
+    for version in range(2, 6):
+        victim = fleet.machines[version]
+        victim.kill()
+        fleet.run(0.3)
+        victim.start()
+        fleet.run(3.0)
+        assert until_taken(fleet, change(version, version - 1)) == 200
+    fleet.settled()
+    seated = [m.node for m in fleet.machines if m.name in roster.members]
+    assert all(node is not None and node.agreement.votes for node in seated)
+
+
 def test_a_leaving_backend_is_answered_once_all_linked_gateways_know() -> None:
     fleet = founded(3)
     heard = fleet.machines[-1].call("beat", beat())
--- a/tests/edge/world.py
+++ b/tests/edge/world.py
@@ -77,6 +77,9 @@
         """The process dies; a save that was under way is on disk or not."""
         if self.node is None:
             return
+        if not self.fleet.disks:
+            self.saves.clear()
+            self.disk.clear()
         while self.saves and self.fleet.chance.random() < 0.5:
             save = self.saves.popleft()
             self.disk[save.name] = save.data
@@ -132,7 +135,8 @@
 class Fleet:
     """All machines of a world, the links between them, and the rules that hold at every step."""
 
-    def __init__(self, seed: int, cores: int = 3, others: int = 2) -> None:
+    def __init__(self, seed: int, cores: int = 3, others: int = 2, disks: bool = True) -> None:
+        self.disks = disks  # else those of the core have their state in memory
         self.kernel = Kernel(seed)
         self.chance = self.kernel.stream("fleet")
         self.network = Network(self.kernel, Weather(0.0005, 0.003))
