Fences of the whole gateway: lines that keep a rule, each found by a test when it is taken out

Two were not found at first: answers before the disk (a test now cuts the power at the moment of the acknowledgement) and silent gateways' even slices.

--- /dev/null
+++ b/tests/edge/test_fences.py
@@ -0,0 +1,69 @@
+"""Lines of the whole gateway that keep a rule: without any of them a test of this folder fails."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+
+import pytest
+
+from embersill.world.fences import Fence, source_of
+
+AGREEMENT, CELL, SUMS = "embersill.edge.agreement", "embersill.edge.cell", "embersill.edge.sums"
+SYNCED = "test_system.py::test_what_was_acknowledged_is_on_disks_by_then"
+DEALT = "test_parts.py::test_slices_reserve_and_silent_gateways_never_have_more_than_the_quota"
+SPOILT = "test_sockets.py::test_what_a_backend_spoils_never_reaches_a_client_as_a_success"
+
+FENCES = (
+    (SYNCED, Fence(
+        "disk-first", AGREEMENT, "a member answers before its records are on disk",
+        "if not member.register.records and member.register.safe >= member.register.mark:", "if True:")),
+    ("test_system.py::test_of_two_changes_on_the_same_version_one_is_taken", Fence(
+        "based-on", "embersill.edge.document", "a change is laid on a version that it does not build on",
+        'if based_on != state["version"]:', "if False:")),
+    ("test_parts.py::test_what_two_gateways_know_of_a_backend_has_one_merge_in_any_order", Fence(
+        "forward-only", "embersill.edge.instances", "late news of a ready backend undoes its draining",
+        "if before is not None and one.order <= before.order:", "if False:")),
+    ("test_system.py::test_a_leaving_backend_is_answered_once_all_linked_gateways_know", Fence(
+        "known-first", CELL, "a leaving backend is answered before gateways know of it",
+        "if not number or not self.roll.linked:", "if True:")),
+    ("test_system.py::test_a_backend_that_falls_silent_is_taken_out_and_comes_back_with_its_next_beat", Fence(
+        "silent-out", CELL, "a backend that calls no more stays in use",
+        "self.tell(self.instances.silent(now, MISSED * self.beat_every))", "pass")),
+    (DEALT, Fence(
+        "dealt-once", SUMS, "room that others hold already is dealt out a second time",
+        "rate = min(rate, quota - self.held(account, even, silent, now, gateway))", "pass")),
+    ("test_parts.py::test_slices_follow_the_demand_and_the_rest_can_be_borrowed", Fence(
+        "silent-slice", SUMS, "gateways that are cut off are taken to use nothing",
+        "return held + even * len(away - account.slices.keys())", "return held")),
+    ("test_parts.py::test_what_no_backend_ran_is_given_back_and_what_may_have_run_is_never_sent_again", Fence(
+        "run-once", "embersill.attempts", "what must not run twice is sent again",
+        "if first is not None and job.klass.repeats is Repeats.ONCE:", "if False:")),
+    (SPOILT, Fence(
+        "own-answer", "embersill.edge.dialect", "an answer without its seal passes for the backend's",
+        "if status < 300 and not connection.units:", "if False:")),
+    ("test_loads.py::test_a_gateway_hears_what_the_others_have_out_and_not_its_own", Fence(
+        "lost-out", "embersill.edge.loads", "what a lost gateway had out counts for ever",
+        "self.add({b: -count for b, count in gone.items()})", "pass")),
+)
+PLAY = """
+import sys
+from embersill.world.fences import take_out
+from tests.edge.test_fences import FENCES
+import pytest
+test, fence = FENCES[int(sys.argv[1])]
+for name in [name for name in sys.modules if name.startswith(("embersill.edge", "embersill.att", "tests."))]:
+    del sys.modules[name]
+take_out(fence)
+sys.exit(pytest.main(["-q", "-x", "-p", "no:cacheprovider", "tests/edge/" + test]))
+"""
+
+
+@pytest.mark.parametrize("number", range(len(FENCES)), ids=[fence.name for _, fence in FENCES])
+def test_a_fence_that_is_taken_out_is_found(number: int) -> None:
+    _, fence = FENCES[number]
+    for module in fence.modules():
+        fence.applied(module, source_of(module)[1])
+    played = subprocess.run(
+        [sys.executable, "-c", PLAY, str(number)], capture_output=True, text=True, timeout=300, check=False)
+    assert played.returncode == 1 and " failed" in played.stdout, played.stdout[-500:] + played.stderr[-500:]
--- a/tests/edge/test_parts.py
+++ b/tests/edge/test_parts.py
@@ -175,6 +175,10 @@
             sums.slice("t", name, 100.0, 10, [], now)
     account = sums.accounts["t"]
     assert account.slices["busy"][0] > 30.0 > 10.0 > account.slices["calm"][0] > 2.0
+    used = account.slices["busy"][0] + account.slices["calm"][0]
+    assert sums.held(account, 10.0, ["never heard of", "calm"], now) == pytest.approx(
+        account.slices["busy"][0] + 10.0 + 10.0)
+    assert sums.held(account, 10.0, [], now) == pytest.approx(used)
     assert sums.lend("t", 1000.0, 100.0, 100.0, 10, [], now + 1) > 40.0
     assert sums.lend("t", 1000.0, 100.0, 100.0, 10, [], now + 1) == 0.0
     assert sums.total("t", 10.0, ["calm"], now) == pytest.approx(30.0 + 10.0, rel=0.1)
--- a/tests/edge/test_system.py
+++ b/tests/edge/test_system.py
@@ -127,6 +127,43 @@
     fleet.settled()
 
 
+@pytest.mark.parametrize("seed", range(10))
+def test_what_was_acknowledged_is_on_disks_by_then(seed: int) -> None:
+    """Slow disks, and all lose power at the moment of the acknowledgement."""
+    fleet = founded(seed)
+    fleet.save_takes = 0.05, 0.2
+    heard = fleet.machines[seed % 3].call("PUT", change(7, 1))
+    while not heard:
+        fleet.run(0.001)
+    for machine in fleet.machines:
+        machine.kill()
+    for machine in fleet.machines:
+        machine.start()
+    fleet.run(6.0)
+    read = fleet.machines[4].call("GET", {})
+    fleet.run(1.0)
+    assert heard[0].status != 200 or read[0].body["version"] == "00000007"
+
+
+def test_a_member_with_an_empty_disk_has_no_vote_until_a_majority_of_the_others_has_told_it() -> None:
+    fleet = founded(9)
+    one, other, late = fleet.machines[:3]
+    late.kill()
+    assert until_taken(fleet, change(2, 1)) == 200
+    one.wipe()
+    other.kill()
+    one.start()
+    late.start()  # it has slept through version 2, and only one that is away knows of it
+    fleet.run(3.0)
+    heard = late.call("PUT", change(3, 1))
+    fleet.run(2.0)
+    assert heard[0].status >= 500
+    other.start()
+    fleet.run(4.0)
+    fleet.settled()
+    assert until_taken(fleet, change(3, 2)) == 200
+
+
 def test_a_core_without_disks_learns_what_a_restart_forgets() -> None:
     fleet = Fleet(8, 12, 0, disks=False)
     fleet.run(4.0)
--- a/tests/edge/world.py
+++ b/tests/edge/world.py
@@ -110,7 +110,7 @@
             for save in saves:
                 self.saves.append(save)
                 if len(self.saves) == 1:
-                    self.process.after(self.fleet.chance.uniform(0.002, 0.008), self.saved)
+                    self.process.after(self.fleet.chance.uniform(*self.fleet.save_takes), self.saved)
         self.fleet.check(self)
 
     def saved(self) -> None:
@@ -120,7 +120,7 @@
             self.disk[save.name] = save.data
         save.then(good)
         if self.saves:
-            self.process.after(self.fleet.chance.uniform(0.002, 0.008), self.saved)
+            self.process.after(self.fleet.chance.uniform(*self.fleet.save_takes), self.saved)
         self.carry_out()
 
     def call(self, what: str, body: Any) -> list[Verdict]:
@@ -136,6 +136,7 @@
     """All machines of a world, the links between them, and the rules that hold at every step."""
 
     def __init__(self, seed: int, cores: int = 3, others: int = 2, disks: bool = True) -> None:
+        self.save_takes = 0.002, 0.008
         self.disks = disks  # else those of the core have their state in memory
         self.kernel = Kernel(seed)
         self.chance = self.kernel.stream("fleet")
