--- a/embersill/admission.py
+++ b/embersill/admission.py
@@ -18,6 +18,7 @@
 class Admission:
     """The throttles of all customers here. What they let go, or turn away, goes to `after`."""
 
+    hold_share = HOLD_SHARE
     strict = False  # what can't be had within the wait bound is turned away as soon as that is known
 
     def __init__(self, turn: Turn, totals: Totals, after: Outcomes) -> None:
@@ -34,7 +35,7 @@
         units = request.units
         throttle.refill(self.turn.now)
         throttle.note_demand(units, self.turn.now)
-        bound = min(HOLD_SHARE * klass.aim, (request.deadline - self.turn.now) / 2)
+        bound = min(self.hold_share * klass.aim, (request.deadline - self.turn.now) / 2)
         job.hold_until = self.turn.now + bound
         if throttle.thin:
             self.totals.read_level(job)
--- a/embersill/edge/deciding.py
+++ b/embersill/edge/deciding.py
@@ -25,6 +25,7 @@
 LEAST_OUT = 2.0  # attempts that may always be out at a backend from here
 SHORT_FOR = 1.0  # seconds after a reserve had nothing in which its tenant counts as short
 REPEATS_FROM = 0.5  # of a short tenant's bank, from which those that come again get a token
+HELD_PART = 0.22  # of the aim that a request may wait for a token: who is turned away by then loses least
 DRY_FOR = 0.2  # seconds after which a reserve that had nothing is asked again
 
 
@@ -114,7 +115,7 @@
 class EdgeAdmission(Admission):
     """What a slice lacks is borrowed from the tenant's reserve, as long as that has any."""
 
-    strict = True
+    hold_share, strict = HELD_PART, True
 
     def admit(self, job: Job) -> None:
         """Where a tenant's reserve is dry, one that comes again goes behind those that come first.
