--- a/embersill/pacing.py
+++ b/embersill/pacing.py
@@ -10,7 +10,10 @@
 
 import random
 
-AGENT_FIRST, AGENT_MOST = 0.05, 1.0  # seconds before an agent's failed call is made again: doubled each time
+# Seconds before an agent's failed call is made again, doubled each time up to the second. What the agent has
+# when it is back counts as told at once: a longer wait would send on for it to backends that drain by then.
+AGENT_FIRST, AGENT_MOST = 0.05, 0.2
+SERVICE_LEAST = 1.0  # the same bound for a service that all share
 AGENT_PATIENCE = 2.0  # seconds past a watch's wait that its answer may take
 SERVICE_CALLS = 5.0  # calls a second, of all gateways together, that a shared service is taken to serve
 SERVICE_MOST = 2.0  # times the spread that the mean wait may grow to
@@ -27,7 +30,7 @@
         self.patience = AGENT_PATIENCE if pushed else SERVICE_PATIENCE
         self.spread = gateways / SERVICE_CALLS
         self.base = AGENT_FIRST if pushed else max(self.spread, AGENT_FIRST)
-        self.most = AGENT_MOST if pushed else max(SERVICE_MOST * self.spread, AGENT_MOST)
+        self.most = AGENT_MOST if pushed else max(SERVICE_MOST * self.spread, SERVICE_LEAST)
         self.wait = self.base
 
     def first(self) -> float:
