--- a/embersill/edge/program.py
+++ b/embersill/edge/program.py
@@ -34,7 +34,7 @@
 from embersill.work import Server
 
 TICK = 0.02  # seconds between looks at what is due
-DIAL_WITHIN = 0.3  # seconds for a connection to a backend: a machine that is cut off says nothing
+DIAL_WITHIN = 0.6  # seconds for a connection to a backend: under load an opening packet may wait
 KEPT = 8.0  # seconds that one may be unused before its backends have said how long they keep it
 FILES = 200  # descriptors that the machine keeps for files
 OWN = 120  # descriptors for links, listeners and calls of control
