--- a/embersill/council/member.py
+++ b/embersill/council/member.py
@@ -310,6 +310,11 @@
             self.took += TOOK_PART * (self.now - operation.began - self.took)
         operation.done(Result(how, entry, operation.began), self.now)
 
+    def close(self) -> None:
+        """Ends all reads and writes: this member takes part no more, and whoever waits has to ask again."""
+        for operation in list(self.operations.values()):
+            self.end(operation, How.UNKNOWN if operation.hidden else How.FAILED, None)
+
     # time
 
     def tick(self, now: float) -> None:
@@ -431,8 +436,7 @@
             return
         register.retired, register.votes = True, False
         self.why = "another process was started under this name"
-        for operation in list(self.operations.values()):
-            self.end(operation, How.UNKNOWN if operation.hidden else How.FAILED, None)
+        self.close()
         self.on_retired(answer.life)
 
     def status(self) -> dict[str, object]:
--- a/embersill/edge/agreement.py
+++ b/embersill/edge/agreement.py
@@ -12,7 +12,6 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import Any
 
 import expression
@@ -25,78 +24,20 @@
 from embersill.council.terms import CouncilTerms
 from embersill.edge import rollouts
 from embersill.edge.document import EMPTY, Refusal, State, changed, stand, write_version
+from embersill.edge.handover import Handover
 from embersill.edge.lapses import ordered
+from embersill.edge.lease import Lease
+from embersill.edge.persistence import Persistence
+from embersill.edge.records import Effects, Message, Roster, Seat, Stored, Value
+from embersill.edge.serial import Serial
 from embersill.edge.verdict import Verdict, done, refused, unknown
 
 KEY = "configuration"
 TERMS = CouncilTerms(attempt=0.3, within=0.85, settle=0.6, hello_every=0.5, back_off=0.02, most_back_off=0.2)
 FEW = 3.0  # members that look each second
 READ_EVERY = 1.0  # seconds after which a member looks whether another has written
-Message = dict[str, Any]
-
-
-class Seat(msgspec.Struct, frozen=True):
-    """One member: where it is, and the nonce of the disk that it had as the epoch was agreed on."""
-
-    ip: str
-    store: str
-
-
-class Roster(msgspec.Struct, frozen=True):
-    """Who agrees, from an epoch on."""
-
-    epoch: int
-    members: dict[str, Seat]
-
-
-class Value(msgspec.Struct, frozen=True):
-    """What the register holds: the configuration's state, and the next epoch once it is sealed."""
-
-    state: State
-    next: Roster | None = None
-
-
-class Begun(msgspec.Struct, frozen=True):
-    """On disk: the epoch that this member is in, and the state that it began with."""
-
-    roster: Roster
-    base: State
-
-
-class Remembered(msgspec.Struct, frozen=True, array_like=True):
-    """On disk: all that this member's register holds, of one epoch."""
-
-    epoch: int
-    whole: Whole
-
-
-class Stored(msgspec.Struct, frozen=True):
-    """What a disk held at the start."""
-
-    store: str  # the disk's nonce
-    begun: Begun | None = None
-    remembered: Remembered | None = None
-    backends: bytes = b""  # the cell's last list, as it saved it
-    gateways: int = 0  # how many there were
-    state: State | None = None  # what was last in force here, once it was chosen
-
-
-@dataclass(slots=True)
-class Save:
-    """Something to be written to disk, in the order in which it was asked for; `then` hears if it was."""
-
-    name: str
-    data: bytes
-    then: Callable[[bool], None]
-
-
-@dataclass(slots=True)
-class Effects:
-    """What is to be done: messages to peers, and saves."""
-
-    mail: list[tuple[str, Message]] = field(default_factory=list)
-    saves: list[Save] = field(default_factory=list)
-
+MOST_CHANGES = 64  # that wait for those before them
+READ_AGAIN = 0.25  # seconds after a look that no majority answered
 
 Decided = Callable[[Verdict, State | None], None]
 DecidedState = expression.Result[State, Refusal]
@@ -105,15 +46,22 @@
 class Agreement:
     """One gateway's part in it: a member if it is on the roster, else one that only knows the roster."""
 
-    def __init__(self, me: str, store: str, effects: Effects, chance: random.Random, now: float) -> None:
+    def __init__(self, me: str, store: str, effects: Effects, chance: random.Random, now: float,
+                 life: str = "", durable: bool = True) -> None:
+        """`life`: names this life of the process. `durable`: False where nothing can be kept, so that this
+        gateway takes no seat even if the roster names it."""
         self.me, self.store, self.effects, self.chance, self.now = me, store, effects, chance, now
+        self.life, self.durable = life, durable
+        self.lease = Lease()
+        self.changes = Serial(MOST_CHANGES)
+        self.persistence: Persistence | None = None  # of the member's register
+        self.handover = Handover(me, effects)
         self.roster: Roster | None = None
-        self.base: State = EMPTY
+        self.base: State = EMPTY  # what the epoch began with, where that is known
+        self.knows_base = False
         self.member: Member | None = None
         self.on_state: Callable[[State], None] = lambda state: None
         self.on_roster: Callable[[Roster], None] = lambda roster: None
-        self.waiting: list[Callable[[], None]] = []  # for the register's records to be on disk
-        self.saving = False
         self.read_at = now
 
     # the start, and epochs
@@ -122,34 +70,38 @@
         """Goes on with what the disk has."""
         if stored.begun is None:
             return
-        self.roster, self.base = stored.begun.roster, stored.begun.base
+        self.roster, self.base, self.knows_base = stored.begun.roster, stored.begun.base, True
         kept = stored.remembered
-        self.sit(kept.whole if kept is not None and kept.epoch == self.roster.epoch else None)
+        self.sit(kept.whole if kept is not None and kept.epoch == self.roster.epoch else None, loaded=True)
 
     def begin(self, roster: Roster, base: State | None) -> None:
         """A later epoch. Without its base only the roster is known, and its members give the rest."""
         if self.roster is not None and roster.epoch <= self.roster.epoch and (
-                base is None or self.member is not None or self.me not in roster.members):
+                base is None or self.member is not None or self.me not in roster.members or not self.durable):
             return
         if base is None and self.me in roster.members:
             return  # told by one that does not know it: another will
-        self.roster, self.base = roster, base or EMPTY
-        self.member, self.waiting = None, []
-        if self.me in roster.members:
-            begun = msgspec.json.encode(Begun(roster, self.base))
-            self.effects.saves.append(Save("begun", begun, lambda good: None))
-            self.sit(None)
+        self.handover.begin(self.roster, roster)
+        self.roster, self.base, self.knows_base = roster, base or EMPTY, base is not None
+        before, self.member = self.member, None
+        if before is not None:
+            before.close()
+        if self.persistence is not None:
+            self.persistence.replaced, self.persistence = True, None
+        self.sit(None, loaded=False)
+        if self.persistence is not None:
+            self.persistence.save()
         self.on_roster(roster)
 
-    def sit(self, whole: Whole | None) -> None:
-        """Takes this member's seat in the epoch.
+    def sit(self, whole: Whole | None, loaded: bool) -> None:
+        """Takes this member's seat in the epoch, if it has one. `loaded`: the epoch came from the disk.
 
         One without records has never answered in this epoch if its disk is the one that the roster names;
         with another disk it may have, and learns from the others what it has forgotten.
         """
         assert self.roster is not None
         seat = self.roster.members.get(self.me)
-        if seat is None:
+        if seat is None or not self.durable:
             return
         register = Register(self.me, self.roster.members)
         nonce = f"{self.chance.getrandbits(64):016x}"
@@ -164,50 +116,22 @@
         else:
             register.load(None)
         self.member = Member(register, TERMS, self.chance, self.now)
-        self.member.on_learned = self.save
+        self.persistence = Persistence(
+            register, self.roster, self.base, self.effects, loaded, self.handover.saved)
+        self.member.on_learned = self.persistence.save
+        self.lease.follow(self.read_interval)
         self.read_at = self.now
 
+    @property
+    def read_interval(self) -> float:
+        """Seconds between this member's quorum reads: the more members look, the less often each needs to."""
+        members = len(self.roster.members) if self.roster is not None else 0
+        return READ_EVERY * max(members / FEW, 1.0)
+
     @property
     def votes(self) -> bool:
         return self.member is not None and self.member.register.votes
 
-    # the disk
-
-    def save(self) -> None:
-        """All that the register holds, in one record: whatever was not saved before is in the next."""
-        member = self.member
-        if member is None or self.roster is None or self.saving:
-            return
-        self.saving = True
-        register = member.register
-        register.records.clear()
-        mark, waiting, self.waiting = register.mark, self.waiting, []
-        data = msgspec.msgpack.encode(Remembered(self.roster.epoch, register.whole()))
-
-        def then(good: bool) -> None:
-            self.saving = False
-            if self.member is not member:
-                return
-            if good:
-                register.saved(mark)
-                for go_on in waiting:
-                    go_on()
-            # where it is not, nobody hears an answer that rests on it: they ask again
-            if register.safe < register.mark and (good or self.waiting):
-                self.save()
-
-        self.effects.saves.append(Save("remembered", data, then))
-
-    def after_save(self, go_on: Callable[[], None]) -> None:
-        """Calls it once all that the register has is on disk."""
-        member = self.member
-        if member is None:
-            return
-        if not member.register.records and member.register.safe >= member.register.mark:
-            return go_on()
-        self.waiting.append(go_on)
-        return self.save()
-
     # messages
 
     def heard(self, peer: str, message: Message) -> None:
@@ -220,36 +144,37 @@
                 self.effects.mail.append((peer, self.told_roster(peer)))
             return
         if message["kind"] == "ask":
-            number = message["n"]
+            number, life = message["n"], message["life"]
             ask = msgspec.convert(message["ask"], AnyAsk)
 
             def reply(answer: Answer) -> None:
                 told = msgspec.to_builtins(answer)
-                message = {"kind": "told", "epoch": roster.epoch, "n": number, "answer": told}
+                message = {"kind": "told", "epoch": roster.epoch, "n": number, "life": life, "answer": told}
                 self.effects.mail.append((peer, message))
 
             self.answer(ask, reply)
-        else:
+        elif message["life"] == self.life:  # else a life that is over has asked under the same number
             member.answered(message["n"], msgspec.convert(message["answer"], AnyAnswer), self.now)
             self.deliver()
 
     def answer(self, ask: Ask, reply: Callable[[Answer], None]) -> None:
-        if self.member is not None:
+        if self.member is not None and self.persistence is not None:
             answer = self.member.register.handle(ask)
-            self.after_save(lambda: reply(answer))
+            self.persistence.after_save(lambda: reply(answer))
 
     def deliver(self) -> None:
         """Sends what the member asks; one's own register is asked by way of the same disk."""
-        member, roster = self.member, self.roster
-        while member is not None and roster is not None and member.outbox:
+        member, roster, persistence = self.member, self.roster, self.persistence
+        while member is not None and roster is not None and persistence is not None and member.outbox:
             if member.register.safe < member.register.life_mark:
-                self.save()  # nothing is said under a life that is not on disk yet
+                persistence.save()  # nothing is said under a life that is not on disk yet
                 return
             out, member.outbox = member.outbox, []
             for name, number, ask in out:
                 if name != self.me:
                     asked = msgspec.to_builtins(ask)
-                    message = {"kind": "ask", "epoch": roster.epoch, "n": number, "ask": asked}
+                    message = {"kind": "ask", "epoch": roster.epoch, "n": number, "life": self.life,
+                               "ask": asked}
                     self.effects.mail.append((name, message))
                     continue
 
@@ -263,21 +188,19 @@
     def told_roster(self, peer: str) -> Message:
         """The epoch, for a peer; with what it begins with if the peer is to sit in it."""
         assert self.roster is not None
-        knows = peer in self.roster.members and self.member is not None
+        knows = peer in self.roster.members and self.knows_base
         return {"kind": "roster", "roster": msgspec.to_builtins(self.roster),
                 "base": self.base if knows else None}
 
     def tick(self, now: float) -> None:
         self.now = max(self.now, now)
         member = self.member
-        if member is None:
+        if member is None or self.persistence is None:
             return
         member.tick(now)
-        if member.register.records and not self.saving:
-            self.save()
+        self.persistence.tick()
         if self.votes and now >= self.read_at:
-            # whoever finds a newer value tells all: the more members look, the less often each needs to
-            self.read_at = now + READ_EVERY * max(len(member.register.members) / FEW, 1.0)
+            self.read_at = now + self.read_interval  # whoever finds a newer value tells all
             member.read(KEY, self.looked, now)
         self.deliver()
 
@@ -288,12 +211,14 @@
 
     def looked(self, result: Result, now: float) -> None:
         if result.how in (How.DONE, How.REFUSED):
-            return self.chosen(self.value(result.entry))
-        self.read_at = min(self.read_at, now + READ_EVERY)  # after a start of all the first look is too early
-        return None
+            self.chosen(self.value(result.entry), result.began)
+            return
+        self.read_at = min(self.read_at, now + READ_AGAIN)  # after a start of all the first look is too early
 
-    def chosen(self, value: Value) -> None:
-        """A value that a majority has: it is in force from now on."""
+    def chosen(self, value: Value, began: float) -> None:
+        """A value that a majority has, by a question that began then: it is in force from now on."""
+        if value.next is None:  # else a majority of the next epoch may have a newer one
+            self.lease.renew(began)
         if value.state["version"]:
             self.on_state(value.state)
         if value.next is not None and self.roster is not None and value.next.epoch > self.roster.epoch:
@@ -308,12 +233,22 @@
             if result.how is not How.DONE:
                 return decided(refused(503, "no majority answers"), None)
             value = self.value(result.entry)
-            self.chosen(value)
+            self.chosen(value, result.began)
+            if value.next is not None:
+                return decided(refused(503, "the members are changing"), None)
             return decided(done(), value.state)
 
         self.member.read(KEY, ended, self.now)
         return self.deliver()
 
+    def speaks(self) -> bool:
+        """True while a majority vouches for what this member holds."""
+        return self.votes and self.lease.held(self.now)
+
+    def confirm(self, ended: Callable[[bool], None]) -> None:
+        """Asks whether a majority vouches for this member from now on; `ended` hears it, once."""
+        self.read(lambda verdict, state: ended(state is not None))
+
     def change(self, method: str, body: Any, decided: Decided) -> None:
         """Lays an operator's change on the newest state. `decided` hears once it is certain, or can't be."""
         return self.decide(lambda state: changed(state, method, body), decided)
@@ -335,13 +270,31 @@
         return self.decide(made, decided)
 
     def decide(self, make: Callable[[State], DecidedState], decided: Decided) -> None:
-        if self.member is None:
-            return decided(refused(503, "no member"), None)
+        """Lays what `make` makes of the newest state, after what was asked for here before."""
+        asked_at = self.now
+
+        def begin(finished: Callable[[], None]) -> None:
+            def ended(verdict: Verdict, state: State | None) -> None:
+                finished()
+                decided(verdict, state)
+
+            if self.member is None:
+                ended(refused(503, "no member"), None)
+            elif self.now - asked_at > TERMS.within:
+                ended(refused(503, "others went first: nobody waits for this one any more"), None)
+            else:
+                self.write(self.member, make, ended)
+
+        if not self.changes.run(begin):
+            decided(refused(503, "too many changes wait"), None)
+
+    def write(self, member: Member, make: Callable[[State], DecidedState], decided: Decided) -> None:
         why: list[Refusal] = []
         taken: list[State] = []
 
         def laid(found: Entry | None) -> bytes | None:
             why.clear()
+            taken.clear()
             value = self.value(found)
             if value.next is not None:
                 why.append(Refusal(503, "the members are changing"))
@@ -358,8 +311,8 @@
         def ended(result: Result, now: float) -> None:
             if result.how in (How.DONE, How.REFUSED):
                 value = self.value(result.entry)
-                self.chosen(value)
-                if result.how is How.DONE or taken and not why:
+                self.chosen(value, result.began)
+                if result.how is How.DONE or taken:
                     told = {"version": write_version(value.state["version"])}
                     return decided(done({**told, "number": stand(value.state)[1]}), value.state)
                 return decided(refused(why[-1].status, why[-1].why), None)
@@ -367,8 +320,8 @@
                 return decided(unknown("no majority answers; it may be in force"), None)
             return decided(refused(503, "no majority answers"), None)
 
-        self.member.write(KEY, laid, ended, self.now)
-        return self.deliver()
+        member.write(KEY, laid, ended, self.now)
+        self.deliver()
 
     def reseat(self, members: dict[str, Seat]) -> None:
         """Seals this epoch and begins the next one with these members."""
--- a/embersill/edge/cell.py
+++ b/embersill/edge/cell.py
@@ -1,46 +1,37 @@
 """A zone's cell: who keeps which backends, news of them to all gateways, and when a leaving one is answered.
 
-News is numbered by its sender and pushed down the held links; each gateway acknowledges by number. A backend
-that leaves is answered once all linked gateways have the news, or have had their time: whoever is not linked
-by then is out of touch. No I/O.
+News is numbered by its sender and pushed down the held links; each gateway acknowledges by number. Calls are
+acknowledged only while a majority vouches for this member (`lease`), and a leaving backend's only once the
+gateways know of it (`departures`); else the backend is sent to another gateway. No I/O.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any
 
 import msgspec
 
-from embersill.edge.agreement import Effects, Message, Save
+from embersill.edge.records import Effects, Message, Save
 from embersill.edge.check import checked
-from embersill.edge.instances import DRAINING, Beat, Instance, Instances, instance
+from embersill.edge.departures import NO_MAJORITY, Answered, Departures, Leaving
+from embersill.edge.instances import DRAINING, GONE, Beat, Instance, Instances, instance
 from embersill.edge.roll import Hello, Roll
-from embersill.edge.verdict import Verdict, done, refused
+from embersill.edge.verdict import done, refused
 
 MISSED = 3.4  # beats that did not come, after which a backend is taken to be lost
-ACKED_WITHIN = 0.5  # seconds that a leaving backend waits for the gateways' word, at most
 SAVE_EVERY = 0.3  # seconds between saves of the list, where it has changed
 CONFIRMED_WITHIN = 2.2  # beats in which a backend that only the disk remembers has to be heard of
 ADOPT_AFTER = 12.0  # seconds without its keeper after which a backend's next keeper watches over it
 
 
-@dataclass(slots=True)
-class Leaving:
-    """A backend's call that waits until gateways know of it."""
-
-    answered: Callable[[Verdict], None]
-    waits_for: set[str]
-    until: float
-
-
 class Cell:
     def __init__(self, me: Hello, roll: Roll, effects: Effects, beat_every: float) -> None:
         self.me, self.roll, self.effects, self.beat_every = me, roll, effects, beat_every
         self.instances = Instances(me.name)
         self.number = 0  # of the news told by this gateway
-        self.leaving: dict[int, Leaving] = {}
+        self.departures = Departures()
+        self.speaks: Callable[[], bool] = lambda: True  # whether a majority vouches for this member
         self.on_view: Callable[[str], None] = lambda text: None  # hears of what was first known here
         self.on_news: Callable[[list[Instance]], None] = lambda news: None
         self.now = 0.0
@@ -82,22 +73,22 @@
             self.effects.mail.append((peer, self.message(known)))
 
     def unlinked(self, peer: str) -> None:
-        for number in list(self.leaving):
-            self.acked(peer, number)
+        self.departures.unlinked(peer, self.now)
 
     def message(self, news: list[Instance]) -> Message:
         self.number += 1
-        return {"kind": "news", "n": self.number, "backends": msgspec.to_builtins(news)}
+        return {"kind": "news", "n": self.number, "life": self.me.boot,
+                "backends": msgspec.to_builtins(news)}
 
     def heard(self, peer: str, message: Message, now: float) -> None:
         self.now = now
         if message["kind"] == "known":
-            return self.acked(peer, int(message["n"]))
+            return self.departures.acked(peer, int(message["n"]), now)
         told = msgspec.convert(message["backends"], list[Instance])
         news = self.instances.merge(told, now)
         for one in told:
             self.restored.pop(one.id, None)
-        self.effects.mail.append((peer, {"kind": "known", "n": message["n"]}))
+        self.effects.mail.append((peer, {"kind": "known", "n": message["n"], "life": message["life"]}))
         self.tell(news, but=peer, first=False)
         return None
 
@@ -110,17 +101,21 @@
             self.on_view(f"backend id={one.id} service={one.service or '?'} zone={one.zone} state={state}")
         self.on_news(news)
         self.changed = True
+        return self.push(news, but)
+
+    def push(self, news: list[Instance], but: str = "") -> int:
+        """Sends news to all linked gateways, where this is a member of the core; its number."""
         if self.in_core:
             message = self.message(news)
             self.effects.mail.extend((name, message) for name in self.roll.linked if name != but)
         return self.number
 
-    def call(self, what: str, body: Any, answered: Callable[[Verdict], None], now: float) -> None:
+    def call(self, what: str, body: Any, answered: Answered, now: float) -> None:
         """A backend's own call."""
         self.now = now
         name = str(body.get("id", "")) if isinstance(body, dict) else ""
         if what == "leave":
-            return self.answer_leaving(self.instances.leave(name, now), answered, done())
+            return self.leave(name, self.instances.leave(name, now), answered)
         read = checked(body, Beat, "instance")
         if read.is_error() or not name:
             return answered(refused(400, read.error if read.is_error() else "no id"))
@@ -129,35 +124,28 @@
         self.restored.pop(name, None)
         keeper = self.roll.keeper(one.zone)
         control = self.me.control if keeper in ("", self.me.name) else self.roll.linked[keeper].control
-        verdict = done({"heartbeat_address": control})
-        if one.state == DRAINING:
-            return self.answer_leaving(news, answered, verdict)
+        if one.state in (DRAINING, GONE):
+            return self.leave(name, news, answered)
         self.tell(news)
-        return answered(verdict)
-
-    def answer_leaving(self, news: list[Instance], answered: Callable[[Verdict], None],
-                       verdict: Verdict) -> None:
-        number = self.tell(news)
-        if not number or not self.roll.linked:
-            return answered(verdict)
-        self.leaving[number] = Leaving(
-            lambda _: answered(verdict), set(self.roll.linked), self.now + ACKED_WITHIN)
-        return None
-
-    def acked(self, peer: str, number: int) -> None:
-        leaving = self.leaving.get(number)
-        if leaving is not None:
-            leaving.waits_for.discard(peer)
-            if not leaving.waits_for:
-                del self.leaving[number]
-                leaving.answered(done())
+        # heard it is, whatever it is told: a member that is cut off may be the only one that it reaches
+        return answered(done({"heartbeat_address": control}) if self.speaks() else refused(503, NO_MAJORITY))
+
+    def leave(self, name: str, news: list[Instance], answered: Answered) -> None:
+        """A backend's word that it leaves: gateways are told, again unless that was acknowledged."""
+        known = self.instances.known.get(name)
+        if known is None:
+            return answered(refused(503, "no room for a further backend"))
+        leaving = Leaving(name, known.state)
+        if leaving in self.departures.acknowledged and self.speaks():
+            return answered(done())
+        if self.departures.joins(leaving, answered):
+            return None
+        number = self.tell(news) or self.push([known])
+        return self.departures.begin(leaving, number, self.roll.linked, answered, self.now)
 
     def tick(self, now: float) -> None:
         self.now = now
-        for number, leaving in list(self.leaving.items()):
-            if now >= leaving.until:
-                del self.leaving[number]
-                leaving.answered(done())
+        self.departures.tick(now)
         if self.in_core:
             self.tell(self.instances.silent(now, MISSED * self.beat_every))
             self.adopt(now)
--- a/embersill/edge/command.py
+++ b/embersill/edge/command.py
@@ -17,7 +17,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from embersill.edge.agreement import Stored
+from embersill.edge.records import Stored
 from embersill.edge.check import checked
 from embersill.edge.document import read_document, write_version
 from embersill.edge.instances import Instance
--- a/embersill/edge/demand.py
+++ b/embersill/edge/demand.py
@@ -4,7 +4,8 @@
 
 from collections.abc import Callable
 
-from embersill.edge.agreement import Agreement, Effects, Message
+from embersill.edge.agreement import Agreement
+from embersill.edge.records import Effects, Message
 from embersill.edge.ring import by_place
 from embersill.edge.roll import Hello, Roll
 from embersill.edge.routes import Table
@@ -69,7 +70,7 @@
             mail.append((peer, {"kind": "sliced", "slices": slices, "at": message["at"]}))
         elif kind == "borrow":
             lent, slices = self.lend(peer, amounts(message["units"]), now)
-            mail.append((peer, {"kind": "lent", "units": lent}))
+            mail.append((peer, {"kind": "lent", "units": lent, "life": message["life"]}))
             if slices:
                 mail.append((peer, {"kind": "sliced", "slices": slices, "at": message["at"]}))
         elif kind == "lent":
--- a/embersill/edge/document.py
+++ b/embersill/edge/document.py
@@ -12,7 +12,8 @@
 from embersill.edge.check import checked
 from embersill.edge.policy import AS_BUILT, Policy
 
-MOST_TAKEN = 64  # changes whose digests are kept, so that one that is sent again is known
+MOST_TAKEN = 512  # changes whose digests are kept, so that one that is sent again is known
+DIGEST = 16  # hexadecimal digits of a change's digest; it tells apart changes under one version only
 MOST_ITEMS = 20000  # routes, services or tenants
 VERSION = re.compile(r"[0-9a-fA-F]{1,16}")
 SECTIONS = ("routes", "services", "tenants")
@@ -150,6 +151,7 @@
     version: int
     document: dict[str, Any]
     taken: list[list[Any]]  # version and digest of each change, the newest last
+    forgotten: NotRequired[int]  # the newest version whose digest is not kept any more
     lapses: NotRequired[Lapses]
     rollouts: NotRequired[Rollouts]
 
@@ -179,7 +181,8 @@
 
 def digest(method: str, body: dict[str, Any]) -> str:
     """The same for the same change, however its text was laid out."""
-    return hashlib.sha256(method.encode() + msgspec.json.encode(body, order="deterministic")).hexdigest()[:32]
+    text = method.encode() + msgspec.json.encode(body, order="deterministic")
+    return hashlib.sha256(text).hexdigest()[:DIGEST]
 
 
 def unsound(document: Document) -> str:
@@ -254,8 +257,10 @@
     if version is None or based_on is None:
         return Error(Refusal(400, "no version in its form"))
     mark = digest(method, body)
-    if [version, mark] in state["taken"]:
+    if any(taken == version and known.startswith(mark) for taken, known in state["taken"]):
         return Ok(state)
+    if version <= state.get("forgotten", 0):
+        return Error(Refusal(500, "too long ago to be known: it may have been taken"))
     if based_on != state["version"]:
         return Error(Refusal(412, f"version {write_version(state['version'])} is in place"))
     if version <= state["version"]:
@@ -267,8 +272,12 @@
     result = read.bind(lambda made: read_document(made).map(lambda _: made))
     if result.is_error():
         return Error(Refusal(400, result.error))
-    taken = [*state["taken"], [version, mark]][-MOST_TAKEN:]
-    return Ok({**state, "version": version, "document": result.ok, "taken": taken})
+    every = [*state["taken"], [version, mark]]
+    kept, dropped = every[-MOST_TAKEN:], every[:-MOST_TAKEN]
+    following: State = {**state, "version": version, "document": result.ok, "taken": kept}
+    if dropped:
+        following["forgotten"] = dropped[-1][0]
+    return Ok(following)
 
 
 def raised(state: State) -> State:
--- a/embersill/edge/founding.py
+++ b/embersill/edge/founding.py
@@ -2,21 +2,24 @@
 
 At the very first start all gateways are told the same seeds, and these are up. The one with the lowest
 address founds, once in its life, when no further core machine has shown up for a while. From then on the
-members change themselves: the lowest one that is there seats newcomers, in the place of who is gone.
+members change themselves (`membership`).
 """
 
 from __future__ import annotations
 
-from embersill.edge.agreement import Agreement, Roster, Seat
+import math
+from collections.abc import Callable
+
+from embersill.edge.agreement import Agreement
 from embersill.edge.document import EMPTY
+from embersill.edge.membership import MOST_SEATS, Candidate, Requirements, next_members
+from embersill.edge.records import Roster, Seat
 from embersill.edge.roll import Hello, Roll
 
-MOST_SEATS = 9  # members: more would agree no better, only slower
 SETTLED = 1.0  # seconds without a further core machine after which the first epoch is founded
 AT_LATEST = 4.0  # seconds after which it is founded with those that are there
-GONE_AFTER = 2.5  # seconds without a link from which a newcomer may take a member's place
-LEFT_OUT_AFTER = 6.0  # from which one is left out without another in its place, if there are members enough
 RESEAT_EVERY = 1.0  # seconds between attempts
+STAGGER = 0.3  # seconds by which a member waits for each that goes before it, by name
 
 
 def spread(cores: list[Hello]) -> list[Hello]:
@@ -34,8 +37,11 @@
 
 class Founding:
     def __init__(self, me: Hello, roll: Roll, agreement: Agreement, now: float) -> None:
-        """`least`: members without which the losses that are to be borne could not be."""
-        self.least = 3
+        self.requirements = Requirements()
+        self.stopping = False  # this gateway was told to stop
+        self.up_to_date: Callable[[str], bool] = lambda name: True  # whether a linked gateway has the state
+        self.wanted: dict[str, Seat] = {}  # the membership that is to be, and since when it is
+        self.wanted_at = now
         self.me, self.roll, self.agreement = me, roll, agreement
         self.born = self.last = now
         self.found = 0
@@ -73,22 +79,26 @@
                 self.agreement.effects.mail.append((name, {**told, "base": EMPTY}))
 
     def reseat(self, now: float) -> None:
-        """Seats a core machine that is no member yet, in the place of one that is gone if there is one."""
+        """Seals this epoch if another membership is wanted; members act one after the other, not at once."""
         roster = self.agreement.roster
         assert roster is not None
-        there = self.roll.core
+        there = sorted(self.roll.core)
         self.missing = {name: self.missing.get(name, now) for name in roster.members if name not in there}
-        if self.me.name != min(there):
-            return
-        newcomers = [hello for hello in self.roll.cores() if hello.name not in roster.members]
-        newcomers.sort(key=lambda hello: hello.name)
-        gone = sorted((since, name) for name, since in self.missing.items() if now - since >= GONE_AFTER)
-        members = dict(roster.members)
-        if gone and newcomers or (
-                gone and len(members) > self.least and now - gone[0][0] >= LEFT_OUT_AFTER):
-            del members[gone[0][1]]
-        if newcomers and len(members) < MOST_SEATS:
-            members[newcomers[0].name] = Seat(newcomers[0].ip, newcomers[0].store)
-        if members != roster.members:
+        wanted = next_members(
+            roster, self.candidates(roster), {name: now - since for name, since in self.missing.items()},
+            self.leaving(), {name: hello.zone for name, hello in self.roll.seen.items()}, self.requirements)
+        if wanted != self.wanted:
+            self.wanted, self.wanted_at = wanted, now
+        delay = STAGGER * there.index(self.me.name) if self.me.name in there else math.inf
+        if wanted != roster.members and now - self.wanted_at >= delay:
             self.again_at = now + RESEAT_EVERY
-            self.agreement.reseat(members)
+            self.agreement.reseat(wanted)
+
+    def candidates(self, roster: Roster) -> list[Candidate]:
+        """Machines of the core without a seat that have the state in force: a learner counts for nothing."""
+        return [Candidate(hello.name, hello.zone, Seat(hello.ip, hello.store)) for hello in self.roll.cores()
+                if hello.name not in roster.members and not hello.leaving and self.up_to_date(hello.name)]
+
+    def leaving(self) -> set[str]:
+        linked = {hello.name for hello in self.roll.linked.values() if hello.leaving}
+        return linked | {self.me.name} if self.stopping else linked
--- a/embersill/edge/loads.py
+++ b/embersill/edge/loads.py
@@ -10,7 +10,7 @@
 
 from collections.abc import Callable, Mapping
 
-from embersill.edge.agreement import Effects
+from embersill.edge.records import Effects
 from embersill.edge.roll import Hello, Roll
 
 GATHER = 0.004  # seconds in which sums are gathered, where a zone has few gateways
--- a/embersill/edge/node.py
+++ b/embersill/edge/node.py
@@ -13,7 +13,9 @@
 
 import msgspec
 
-from embersill.edge.agreement import Agreement, Effects, Message, Roster, Save, Stored
+from embersill.edge.agreement import Agreement
+from embersill.edge.records import Effects, Message, Roster, Save, Stored
+from embersill.edge.calls import Answered, Calls
 from embersill.edge.cell import Cell
 from embersill.edge.demand import DEMAND, Demand
 from embersill.edge.document import EMPTY, State, read_document, stand
@@ -24,27 +26,16 @@
 from embersill.edge.roll import Hello, Roll
 from embersill.edge.lapses import lapses_of, squeezed
 from embersill.edge.roller import Roller
-from embersill.edge.rollouts import in_force, label, rollouts_of
+from embersill.edge.rollouts import in_force, label
 from embersill.edge.loads import Loads
 from embersill.edge.squeezer import Squeezer
 from embersill.edge.routes import Table
 from embersill.edge.status import status_of
-from embersill.edge.verdict import Ran, Verdict, done, refused
+from embersill.edge.verdict import done
 
 FETCH_AGAIN = 0.4  # seconds after which a document that did not come is asked for elsewhere
-CALL_WITHIN = 0.8  # seconds for a call that is passed on: its caller goes elsewhere after one
 ACKED_WITHIN = 0.5  # seconds that an operator's change waits for the gateways' word
-
-READS = "GET", "lapses", "rollouts"  # calls that change nothing
-
-Answered = Callable[[Verdict], None]
-
-
-class Passed(msgspec.Struct):
-    """A call that another gateway settles."""
-
-    answered: Answered
-    until: float
+ANSWERS = frozenset(("told", "result", "known", "reported", "watched", "lent"))  # to this life's questions
 
 
 class Node:
@@ -53,24 +44,29 @@
         self.me, self.now = hello, now
         self.effects = Effects()
         self.roll = Roll(hello, seeds, self.effects, now)
-        self.agreement = Agreement(hello.name, hello.store, self.effects, chance, now)
+        self.agreement = Agreement(
+            hello.name, hello.store, self.effects, chance, now, life=hello.boot, durable=hello.core)
         self.agreement.on_state, self.agreement.on_roster = self.adopt, self.seated
         self.cell = Cell(hello, self.roll, self.effects, beat_every)
         self.cell.on_news = self.news
+        self.cell.speaks = self.agreement.speaks
+        self.cell.departures.confirm = self.agreement.confirm
         self.loads = Loads(hello, self.roll, self.effects)
         self.founding = Founding(hello, self.roll, self.agreement, now)
+        self.founding.up_to_date = lambda name: self.newest.get(name, (0, 0)) >= stand(self.state)
         self.demand = Demand(hello, self.roll, self.agreement, self.effects, now)
         self.state: State = EMPTY
         self.table: Table | None = None
         self.newest: dict[str, tuple[int, int]] = {}  # how new what peers have is, as they told
         self.fetched_at, self.fetched_from = float("-inf"), ""
-        self.passed: dict[int, Passed] = {}
-        self.calls = 0
         # changes, until gateways have them
         self.waiting: list[tuple[float, tuple[int, int], Callable[[], None]]] = []
         self.on_table: Callable[[Table], None] = lambda table: None
         self.on_view: Callable[[str], None] = lambda text: None  # hears what has changed, a line each
         self.reports = Reports(hello, self.roll, self.effects)
+        self.calls = Calls(hello, self.roll, self.agreement, self.cell, self.reports, self.effects)
+        self.calls.when_applied = self.when_applied
+        self.calls.on_view = lambda text: self.on_view(text)
         self.squeezer = Squeezer(hello, self.roll, self.agreement, lambda: self.state,
                                  lambda: self.all_have(stand(self.state)), now)
         self.roller = Roller(hello, self.roll, self.agreement, self.effects, lambda: self.state,
@@ -88,18 +84,27 @@
         self.agreement.load(stored)
         if self.agreement.roster is not None:
             self.roll.roster = self.agreement.roster
-        self.backends, self.remembered = stored.backends, stored.state
+        self.backends = stored.backends
         if stored.gateways:
             self.roll.remember(stored.gateways, now)
 
     def begin(self) -> None:
-        """Once whoever drives this listens: what the disk remembers serves from the start."""
+        """Once whoever drives this listens: backends that the disk remembers serve from the start.
+
+        The configuration doesn't: until a majority's word has come, here or by way of a member that has it,
+        what the disk has may be old.
+        """
         news = self.cell.restore(self.backends, self.now)
         if news:
             self.on_instances(news)
-        if self.remembered is not None:
-            # it was chosen, so that it may be in force; a newer one is asked for with the first link
-            self.adopt(self.remembered)
+
+    def leave(self) -> None:
+        """This gateway was told to stop: duties go to others, and its seat to a newcomer if there is one."""
+        self.founding.stopping = True
+        self.me = msgspec.structs.replace(self.me, leaving=True)
+        for duty in self.duties:
+            duty.hand_over()
+        self.effects.mail.extend((name, {"kind": "leaving"}) for name in self.roll.linked)
 
     # links
 
@@ -140,7 +145,11 @@
         self.now = self.agreement.now = max(self.now, now)
         self.roll.hear(peer, self.now)
         kind = message["kind"]
-        if kind in ("ask", "told"):
+        if kind in ANSWERS and message["life"] != self.me.boot:
+            return  # an earlier life of this process had asked, under a number that may stand for another now
+        if kind == "seated":
+            self.agreement.handover.told(peer, int(message["epoch"]))
+        elif kind in ("ask", "told"):
             self.agreement.heard(peer, message)
         elif kind == "roster":
             self.agreement.begin(msgspec.convert(message["roster"], Roster), message["base"])
@@ -148,9 +157,10 @@
             self.newest[peer] = int(message["version"]), int(message["orders"])
             self.check_applied()
             self.catch_up()
+        elif kind == "leaving":
+            self.roll.leaves(peer)
         elif kind == "fetch":
-            if self.state["version"]:
-                self.effects.mail.append((peer, {"kind": "document", "state": self.state}))
+            self.fetched(peer)
         elif kind == "document":
             self.adopt(msgspec.convert(message["state"], State))
         elif kind in ("news", "known"):
@@ -166,9 +176,9 @@
         elif kind in DEMAND:
             self.demand.heard(peer, message, self.now)
         elif kind == "call":
-            self.called(peer, message)
+            self.calls.called(peer, message, self.now)
         elif kind == "result":
-            self.result(message)
+            self.calls.result(message, self.now)
 
     def tick(self, now: float) -> None:
         self.now = max(self.now, now)
@@ -182,10 +192,7 @@
         self.roller.tick(self.now)
         self.catch_up()
         self.view()
-        for number, passed in list(self.passed.items()):
-            if self.now >= passed.until:
-                del self.passed[number]
-                passed.answered(refused(503, "nobody settled it in time"))
+        self.calls.tick(self.now)
         self.check_applied()
 
     # the configuration
@@ -213,7 +220,7 @@
         self.state, self.table = state, Table(document.ok, squeezed(state))
         self.demand.table = self.table
         self.reports.figures.follow(lapses_of(state)["orders"])
-        if self.me.core and state is not self.remembered:
+        if self.me.core:
             self.effects.saves.append(Save("state", msgspec.msgpack.encode(state), lambda good: None))
         self.on_table(self.table)
         policy = in_force(state, self.me.zone, self.me.name), label(state)
@@ -234,14 +241,26 @@
 
     def catch_up(self) -> None:
         """Asks a peer that has a newer version, one after the other."""
-        version = stand(self.state)
-        ahead = [name for name, newer in self.newest.items() if newer > version]
+        version, members = stand(self.state), self.roll.core
+        ahead = [name for name in members if self.newest.get(name, version) > version]
         if not ahead or (self.now - self.fetched_at < FETCH_AGAIN and self.fetched_from in ahead):
             return
-        ahead.sort(key=lambda name: (name == self.fetched_from, self.distance(name)))
+        ahead.sort(key=lambda name: (name == self.fetched_from, self.roll.distance(name)))
         self.fetched_at, self.fetched_from = self.now, ahead[0]
         self.effects.mail.append((ahead[0], {"kind": "fetch"}))
 
+    def fetched(self, peer: str) -> None:
+        """Hands the configuration on, once a majority vouches that it is the one in force."""
+        def vouched(good: bool) -> None:
+            if good and self.state["version"]:
+                handed = {**self.state, "taken": []}  # which orders were taken concerns members alone
+                self.effects.mail.append((peer, {"kind": "document", "state": handed}))
+
+        if self.agreement.speaks():
+            vouched(True)
+        else:
+            self.agreement.confirm(vouched)
+
     def all_have(self, version: tuple[int, int]) -> bool:
         return all(self.newest.get(name, (0, 0)) >= version for name in self.roll.linked)
 
@@ -260,82 +279,11 @@
     # calls of operators and backends
 
     def call(self, what: str, body: Any, answered: Answered, now: float) -> None:
-        """Settles a call here, or passes it on to who can; `answered` hears its verdict, once.
-
-        `what`: PUT or PATCH lay a change on the configuration, GET reads it, beat and leave are a backend's.
-        """
+        """Settles a call, here or elsewhere; `answered` hears its verdict, once. `what`: see `calls`."""
         self.now = self.agreement.now = max(self.now, now)
         if what == "status":
             return answered(done(status_of(self)))
-        if what == "report" and self.me.name in self.roll.core:
-            return self.reports.ask(str(body.get("id", "")), answered, self.now)
-        if what in ("beat", "leave"):
-            keeper = self.roll.keeper(str(body.get("zone", "")))
-            if self.me.name in self.roll.core:
-                return self.cell.call(what, body, answered, self.now)
-            return self.pass_on(keeper, what, body, answered)
-        if self.agreement.votes:
-            return self.settle(what, body, answered)
-        members = [name for name in self.roll.core if name != self.me.name]
-        return self.pass_on(min(members, key=self.distance, default=""), what, body, answered)
-
-    def distance(self, peer: str) -> tuple[bool, str]:
-        """Orders linked peers: those of one's own zone go first."""
-        return self.roll.linked[peer].zone != self.me.zone, peer
-
-    def settle(self, what: str, body: Any, answered: Answered) -> None:
-        def decided(verdict: Verdict, state: State | None) -> None:
-            if what not in READS:
-                why = verdict.body.get("error_message", "")
-                self.on_view(f"change version={body.get('version')} status={verdict.status} {why}".rstrip())
-            if verdict.ran is not Ran.YES or state is None:
-                return answered(verdict)
-            if what == "GET":
-                return answered(done(state["document"]) if state["version"] else refused(404, "none yet"))
-            if what == "lapses":
-                return answered(done({**lapses_of(state)}))
-            if what == "rollouts":
-                return answered(done({**rollouts_of(state)}))
-            return self.when_applied(stand(state), lambda: answered(verdict))
-
-        if what in READS:
-            return self.agreement.read(decided)
-        if what == "rollout":
-            return self.agreement.roll_out(body, decided)
-        if what == "lapse":
-            wish = {name: value for name, value in body.items() if name != "id"}
-            return self.agreement.order(str(body.get("id", "")), wish, decided)
-        return self.agreement.change(what, body, decided)
-
-    def pass_on(self, peer: str, what: str, body: Any, answered: Answered) -> None:
-        if not peer:
-            return answered(refused(503, "no member of the core is in reach"))
-        self.calls += 1
-        self.passed[self.calls] = Passed(answered, self.now + CALL_WITHIN)
-        message = {"kind": "call", "n": self.calls, "what": what, "body": body}
-        return self.effects.mail.append((peer, message))
-
-    def called(self, peer: str, message: Message) -> None:
-        number = message["n"]
-
-        def answered(verdict: Verdict) -> None:
-            told = {"kind": "result", "n": number, "verdict": msgspec.to_builtins(verdict)}
-            self.effects.mail.append((peer, told))
-
-        what, body = str(message["what"]), message["body"]
-        if what in ("beat", "leave"):
-            self.cell.call(what, body, answered, self.now)
-        elif what == "report":
-            self.reports.ask(str(body.get("id", "")), answered, self.now)
-        elif self.agreement.votes:
-            self.settle(what, body, answered)
-        else:
-            answered(refused(503, "not a member now"))
-
-    def result(self, message: Message) -> None:
-        passed = self.passed.pop(message["n"], None)
-        if passed is not None:
-            passed.answered(msgspec.convert(message["verdict"], Verdict))
+        return self.calls.call(what, body, answered, self.now)
 
     # news
 
--- a/embersill/edge/program.py
+++ b/embersill/edge/program.py
@@ -15,7 +15,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from embersill.edge.agreement import Save, Stored
+from embersill.edge.records import Save, Stored
 from embersill.edge.deciding import EdgeGateway
 from embersill.edge.dialect import EdgeDialect
 from embersill.edge.doors import ControlDesk, FrontDesk, ReadyDesk
@@ -23,6 +23,7 @@
 from embersill.edge.instances import GONE, Instance
 from embersill.edge.links import Links
 from embersill.edge.local import Local, bound, read_local
+from embersill.edge.membership import Requirements
 from embersill.edge.node import Node
 from embersill.edge.policy import Policy
 from embersill.edge.roll import Hello
@@ -71,8 +72,7 @@
             stored.store, f"{self.chance.getrandbits(48):012x}", first=local["first_start"],
             seed=local["ip_address"] in seeds)
         self.node = Node(hello, seeds, stored, self.chance, now, local.get("heartbeat_interval_s", 1.0))
-        borne = local.get("fault_tolerance", {"machine_failures": 1})["machine_failures"]
-        self.node.founding.least = 2 * borne + 1
+        self.node.founding.requirements = requirements_of(local)
         self.node.demand.on_holding = self.holding
         self.node.on_view = log.info
         self.node.on_table, self.node.on_instances = self.table_came, self.instances_came
@@ -234,8 +234,7 @@
         self.stopping = True
         end = self.clock() + bound(self.local, "grace_period_s", 6.0) - STOP_AT_LATEST
         self.front.stopping = True
-        for duty in self.node.duties:
-            duty.hand_over()
+        self.node.leave()
         self.carry_out()
         await asyncio.sleep(min(SEEN_LEAVING, max(end - self.clock() - 1.0, 0.0)))
         self.front.stop_listening()
@@ -246,6 +245,8 @@
         self.desk.give_up(math.inf)
         self.front.close_idle()
         await self.front.wait_drained(4 * SHORT)
+        while not self.node.agreement.handover.complete and self.clock() < end:
+            await asyncio.sleep(SHORT)
         for front in (self.front, self.control, self.ready):
             front.stop_listening()
             front.close()
@@ -259,6 +260,13 @@
         log.info("stopped node=%s", self.node.me.name)
 
 
+def requirements_of(local: Local) -> Requirements:
+    """What the membership has to bear, by the settings; one machine where they are silent."""
+    borne = local.get("fault_tolerance", {"machine_failures": 1})
+    whole_places = borne.get("zones", 0) + borne.get("regions", 0) > 0
+    return Requirements(max(2 * borne["machine_failures"] + 1, 3), whole_places)
+
+
 def prepared(environment: dict[str, str]) -> Result[tuple[Local, Store | None, Stored], str]:
     """Settings and what the disk remembers, or one line on what is wrong."""
     read = read_local(environment)
--- a/embersill/edge/reports.py
+++ b/embersill/edge/reports.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from embersill.edge.agreement import Effects, Message
+from embersill.edge.records import Effects, Message
 from embersill.edge.figures import Figures, Labelled, added, told
 from embersill.edge.roll import Hello, Roll
 from embersill.edge.verdict import Verdict, done
@@ -44,7 +44,8 @@
         asked = self.open[self.number] = Asked(told, now + WITHIN, set(self.roll.linked))
         asked.found[self.me.name] = self.own(subject)
         for name in self.roll.linked:
-            self.effects.mail.append((name, {"kind": self.kind, "n": self.number, "subject": subject}))
+            self.effects.mail.append((name, {
+                "kind": self.kind, "n": self.number, "life": self.me.boot, "subject": subject}))
         if not asked.waits_for:
             self.end(self.number)
 
@@ -52,7 +53,8 @@
         number = int(message["n"])
         if message["kind"] == self.kind:
             counts = self.own(str(message["subject"]))
-            self.effects.mail.append((peer, {"kind": f"{self.kind}ed", "n": number, "counts": counts}))
+            self.effects.mail.append((peer, {
+                "kind": f"{self.kind}ed", "n": number, "life": message["life"], "counts": counts}))
             return
         asked = self.open.get(number)
         if asked is not None and peer in asked.waits_for:
--- a/embersill/edge/roll.py
+++ b/embersill/edge/roll.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from embersill.edge.agreement import Effects, Roster
+from embersill.edge.records import Effects, Roster
 
 DROP_AFTER = 60.0  # seconds after which a gateway that nobody sees is no more counted on
 LINKED_WITHIN = 4.0  # seconds after a start in which gateways that were there link again
@@ -35,6 +35,7 @@
     orders: int = 0  # the number of the orders beside the configuration
     first: bool = False  # the very first start of all
     seed: bool = False  # it is one of the seeds that all were told
+    leaving: bool = False  # it was told to stop: another is to take its seat, if there is one
 
 
 class Roll:
@@ -89,6 +90,19 @@
             return near[0]
         return self.me.name if self.me.name in core else (sorted(core)[0] if core else "")
 
+    def leaving(self, name: str) -> bool:
+        """True for a linked gateway that was told to stop."""
+        return name in self.linked and self.linked[name].leaving
+
+    def leaves(self, name: str) -> None:
+        """A linked gateway has been told to stop."""
+        if name in self.linked:
+            self.linked[name] = msgspec.structs.replace(self.linked[name], leaving=True)
+
+    def distance(self, peer: str) -> tuple[bool, str]:
+        """Orders linked peers: those of one's own zone go first."""
+        return self.linked[peer].zone != self.me.zone, peer
+
     def hear(self, name: str, now: float) -> None:
         """Something came over the link."""
         self.heard_at[name] = now
--- a/embersill/edge/roller.py
+++ b/embersill/edge/roller.py
@@ -13,7 +13,8 @@
 
 import msgspec
 
-from embersill.edge.agreement import Agreement, Effects
+from embersill.edge.agreement import Agreement
+from embersill.edge.records import Effects
 from embersill.edge.document import Run, State
 from embersill.edge.duty import Duty
 from embersill.edge.judging import Finding, judged
--- a/embersill/edge/store.py
+++ b/embersill/edge/store.py
@@ -18,7 +18,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from embersill.edge.agreement import Begun, Remembered, Save, Stored
+from embersill.edge.records import Begun, Remembered, Save, Stored
 from embersill.edge.document import State
 
 FORMAT = b"embersill-1"
@@ -133,7 +133,7 @@
         while (save := self.waiting.get()) is not None:
             good, why = True, ""
             try:
-                self.write({save.name: save.data})
+                self.write({save.name: save.data, **save.also})
             except (lmdb.Error, OSError) as error:
                 good, why = False, str(error)
             if good == self.failing:
--- a/embersill/edge/tally.py
+++ b/embersill/edge/tally.py
@@ -78,7 +78,8 @@
         if lender == self.node.me.name:
             self.later(0.0, lambda: self.lend_here(asked))
         elif lender in self.node.roll.linked:
-            message = {"kind": "borrow", "units": asked, "at": round(self.clock(), 4)}
+            message = {"kind": "borrow", "units": asked, "at": round(self.clock(), 4),
+                       "life": self.node.me.boot}
             self.node.effects.mail.append((lender, message))
             self.flushed()
         else:
--- a/embersill/lab/edge/fleet.py
+++ b/embersill/lab/edge/fleet.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from embersill.edge.agreement import Begun, Remembered, Save, Stored
+from embersill.edge.records import Begun, Remembered, Save, Stored
 from embersill.edge.document import NO_LAPSES, Order, State, stand
 from embersill.edge.node import Node
 from embersill.edge.roll import Hello
@@ -50,6 +50,7 @@
         self.process = world.Node(fleet.kernel, self.name)
         self.disk: dict[str, bytes] = {}
         self.disk_refuses = False
+        self.refuse_next: set[str] = set()  # values whose next save is refused
         self.node: Node | None = None
         self.saves: deque[Save] = deque()
         self.up: dict[str, float] = {}  # links by peer, since when nothing has come over them
@@ -90,7 +91,7 @@
             self.disk.clear()
         while self.saves and self.fleet.chance.random() < 0.5:
             save = self.saves.popleft()
-            self.disk[save.name] = save.data
+            self.disk.update({save.name: save.data, **save.also})
         self.saves.clear()
         self.process.alive, self.node = False, None
         for name in list(self.up):
@@ -123,9 +124,11 @@
 
     def saved(self) -> None:
         save = self.saves.popleft()
-        good = not self.disk_refuses
+        refused = self.refuse_next & {save.name, *save.also}
+        self.refuse_next -= refused
+        good = not self.disk_refuses and not refused
         if good:
-            self.disk[save.name] = save.data
+            self.disk.update({save.name: save.data, **save.also})
         save.then(good)
         if self.saves:
             self.process.after(self.fleet.chance.uniform(*self.fleet.save_takes), self.saved)
--- /dev/null
+++ b/tests/edge/test_control.py
@@ -0,0 +1,159 @@
+"""The control plane's worst days, a few seeds of each scenario, and the parts that keep them harmless."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+
+import pytest
+
+from embersill.edge.document import EMPTY, MOST_TAKEN, changed, digest
+from embersill.edge.lease import LEASE_SLACK, Lease
+from embersill.edge.membership import Candidate, Requirements, next_members
+from embersill.edge.records import Roster, Seat
+from embersill.edge.serial import Finished, Serial
+from embersill.lab.edge import control
+from embersill.lab.edge.fleet import change
+from embersill.world.version_history import Order, Outcome, Read, violations
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_member_that_is_cut_off_confirms_and_hands_out_nothing(seed: int) -> None:
+    assert not control.cut_member(seed).wrong
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_member_that_is_restarted_alone_serves_nothing_from_its_disk(seed: int) -> None:
+    assert not control.restarted_alone(seed).wrong
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_process_that_stood_still_has_no_lease_as_it_wakes_up(seed: int) -> None:
+    assert not control.stood_still(seed).wrong
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_orders_that_race_and_are_sent_again_have_a_linearizable_history(seed: int) -> None:
+    assert not control.raced_orders(seed).wrong
+
+
+def test_an_order_that_was_taken_hundreds_of_changes_ago_is_acknowledged_again() -> None:
+    assert not control.sent_again_late(1).wrong
+
+
+def test_beyond_what_is_remembered_an_order_has_no_clear_answer_and_is_never_refused() -> None:
+    state = EMPTY
+    for version in range(1, MOST_TAKEN + 3):
+        state = changed(state, "PUT", change(version, version - 1)).ok
+    assert len(state["taken"]) == MOST_TAKEN and state["forgotten"] == 2
+    assert changed(state, "PUT", change(3, 2)).ok is state
+    assert changed(state, "PUT", change(2, 1)).error.status == 500
+    assert changed(state, "PUT", change(3, 2, routes=2)).error.status == 412
+    assert len(digest("PUT", change(1, 0))) == 16
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_a_second_loss_after_a_replacement_leaves_a_majority(seed: int) -> None:
+    assert not control.second_loss(seed).wrong
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_two_of_five_are_replaced_and_two_more_may_be_lost(seed: int) -> None:
+    assert not control.second_loss_of_five(seed).wrong
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_a_member_that_leaves_waits_until_its_successors_have_what_it_has(seed: int) -> None:
+    assert not control.last_copy(seed).wrong
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_a_member_whose_disk_refused_an_epoch_has_forgotten_no_promise(seed: int) -> None:
+    assert not control.refused_epoch(seed).wrong
+
+
+@pytest.mark.parametrize(("wiped", "routes"), [(False, 1), (True, 1), (False, 3000), (True, 3000)])
+def test_a_member_that_slept_through_hundreds_of_changes_catches_up(wiped: bool, routes: int) -> None:
+    assert not control.caught_up(2, 300, wiped, routes).wrong
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_an_answer_to_an_earlier_life_is_no_answer_to_this_one(seed: int) -> None:
+    assert not control.earlier_life(seed).wrong
+    assert not control.earlier_news(seed).wrong
+
+
+def test_a_lease_runs_from_the_beginning_of_the_read_and_never_gets_shorter() -> None:
+    lease = Lease()
+    lease.follow(1.0)
+    assert not lease.held(0.0)
+    lease.renew(10.0)
+    lease.renew(9.0)  # one that began before and ended later
+    assert lease.held(11.0 + LEASE_SLACK) and not lease.held(11.1 + LEASE_SLACK)
+
+
+def test_operations_run_one_after_the_other_and_too_many_are_turned_away() -> None:
+    serial, begun, ends = Serial(2), list[int](), list[Finished]()
+
+    def operation(number: int) -> bool:
+        def begin(finished: Finished) -> None:
+            begun.append(number)
+            ends.append(finished)
+
+        return serial.run(begin)
+
+    assert [operation(number) for number in range(4)] == [True, True, True, False]
+    assert begun == [0]
+    ends[0]()
+    assert begun == [0, 1] and operation(4)
+    ends[1]()
+    ends[2]()
+    assert begun == [0, 1, 2, 4]
+
+
+def seat(number: int) -> Seat:
+    return Seat(f"10.0.0.{number}", f"disk{number}")
+
+
+ROSTER = Roster(3, {f"m{n}": seat(n) for n in (1, 2, 3)})
+ZONES = {"m1": "a", "m2": "b", "m3": "c"}
+NEW = [Candidate("n7", "b", seat(7)), Candidate("n8", "c", seat(8))]
+BORNE_ONE = Requirements(3)
+
+
+def next_names(candidates: list[Candidate], missing: dict[str, float], leaving: Collection[str] = (),
+               roster: Roster = ROSTER, requirements: Requirements = BORNE_ONE) -> list[str]:
+    return sorted(next_members(roster, candidates, missing, leaving, ZONES, requirements))
+
+
+def test_a_newcomer_stands_by_and_takes_the_seat_of_who_is_lost_or_leaves_in_one_step() -> None:
+    assert next_names(NEW, {}) == ["m1", "m2", "m3"]  # never an even number in between
+    assert next_names(NEW, {"m3": 0.2}) == ["m1", "m2", "m3"]
+    assert next_names(NEW, {"m3": 0.6}) == ["m1", "m2", "n8"]  # of the same zone
+    assert next_names(NEW[:1], {"m3": 0.6}) == ["m1", "m2", "n7"]
+    assert next_names(NEW, {}, {"m2"}) == ["m1", "m3", "n7"]
+    assert next_names(NEW, {"m1": 9.0, "m2": 1.0}) == ["m3", "n7", "n8"]  # both, in one epoch
+
+
+def test_a_seat_is_given_up_without_a_successor_only_while_enough_remain() -> None:
+    four = Roster(3, {**ROSTER.members, "m4": seat(4)})
+    assert next_names([], {"m3": 60.0}) == ["m1", "m2", "m3"]
+    assert next_names([], {"m3": 5.0}, roster=four) == ["m1", "m2", "m3", "m4"]
+    assert next_names([], {"m3": 7.0}, roster=four) == ["m1", "m2", "m4"]
+    assert next_names([], {"m3": 7.0}, roster=four, requirements=Requirements(3, True)) == [
+        "m1", "m2", "m3", "m4"]
+    assert next_names(NEW, {}, requirements=Requirements(5)) == ["m1", "m2", "m3", "n7", "n8"]
+
+
+def order(version: int, based_on: int, outcome: Outcome, began: float, mark: str = "") -> Order:
+    return Order(version, based_on, mark or f"{version}", began, began + 1.0, outcome)
+
+
+def test_the_checker_of_histories_finds_what_no_single_copy_could_tell() -> None:
+    taken, refused = Outcome.TAKEN, Outcome.REFUSED
+    good = [order(1, 0, taken, 0.0), order(2, 1, taken, 2.0), order(3, 1, refused, 2.0),
+            order(1, 0, taken, 5.0), order(4, 2, Outcome.UNCLEAR, 6.0)]
+    assert not violations(good, [Read(1, 1.5, 2.5), Read(2, 4.0, 5.0), Read(4, 7.0, 8.0)])
+    assert violations([*good, order(5, 1, taken, 8.0)], [])  # a fork
+    assert violations([*good, order(2, 1, taken, 8.0, "another")], [])  # two under one number
+    assert violations([*good, order(1, 0, refused, 8.0)], [])  # refused after it was acknowledged
+    assert violations(good, [Read(1, 4.0, 5.0)]) and violations(good, [Read(9, 4.0, 5.0)])
--- a/tests/edge/test_loads.py
+++ b/tests/edge/test_loads.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from embersill.edge.agreement import Effects, Roster, Seat
+from embersill.edge.records import Effects, Roster, Seat
 from embersill.edge.loads import Loads
 from embersill.edge.roll import Hello, Roll
 
--- a/tests/edge/test_sockets.py
+++ b/tests/edge/test_sockets.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from embersill.edge.agreement import Stored
+from embersill.edge.records import Stored
 from embersill.edge.__main__ import main
 from embersill.edge.doors import INTERFACE, operations
 from embersill.edge.local import Local
--- a/tests/edge/test_store.py
+++ b/tests/edge/test_store.py
@@ -14,7 +14,7 @@
 
 from embersill.council.register import Register
 from embersill.edge.__main__ import main
-from embersill.edge.agreement import Begun, Remembered, Roster, Save, Seat
+from embersill.edge.records import Begun, Remembered, Roster, Save, Seat
 from embersill.edge.document import EMPTY, State
 from embersill.edge.instances import Instance
 from embersill.edge.program import prepared
