A long answer is passed on only to the request that it belongs to

An answer over 64 KiB was passed on as it came as soon as its status was 200; whose it is (`X-Attempt-Id`) and whether it is the backend's (its seal) was looked at only once it was whole. A long surplus answer that came late, where the next one was due, went to the next caller.

Change: the dialect says by the head whether an answer is the attempt's own. Another's is read past, and the own one is waited for behind it; one without id or seal ends the attempt as broken. A member that has just got its vote settles changes before its first quorum read; one whose lease has lapsed sends them on at once.

--- a/embersill/edge/calls.py
+++ b/embersill/edge/calls.py
@@ -153,7 +153,7 @@
             return self.cell.call(what, body, answered, now)
         if what == "report":
             return self.reports.ask(str(body.get("id", "")), answered, now)
-        if what not in BACKENDS_CALLS and self.agreement.speaks():
+        if what not in BACKENDS_CALLS and self.agreement.votes and not self.agreement.lease.lapsed(now):
             return self.settle(what, body, answered)
         return answered(refused(503, "no member with a majority now"))
 
--- a/embersill/edge/dialect.py
+++ b/embersill/edge/dialect.py
@@ -38,6 +38,9 @@
         if name not in OWN:
             connection.headers += b"%b: %b\r\n" % (name, value)
 
+    def belongs(self, connection: BackendConnection, attempt: Attempt) -> bool:
+        return connection.answers_to == attempt.id and bool(connection.units)
+
     def judge(self, connection: BackendConnection, attempt: Attempt, body: bytes) -> Answer:
         status, load = connection.status, connection.load
         if connection.answers_to != attempt.id and (connection.answers_to or status < 300):
--- a/embersill/edge/lease.py
+++ b/embersill/edge/lease.py
@@ -27,6 +27,10 @@
         """A majority has answered a read that began at `read_began`."""
         self.vouched_at = max(self.vouched_at, read_began)
 
+    def lapsed(self, now: float) -> bool:
+        """True once it was held and is no more: a majority that was there does not answer."""
+        return self.vouched_at > float("-inf") and not self.held(now)
+
     def held(self, now: float) -> bool:
         """True while this member may speak for the system."""
         return now - self.vouched_at <= self.term
--- a/embersill/net/backends.py
+++ b/embersill/net/backends.py
@@ -60,6 +60,10 @@
         """What a whole answer comes to."""
         ...
 
+    def belongs(self, connection: BackendConnection, attempt: Attempt) -> bool:
+        """True if an answer is the attempt's own, as far as its head tells: before that none is passed on."""
+        ...
+
 
 class Sink(Protocol):
     """Where an answer goes that is passed on while it comes."""
@@ -279,7 +283,7 @@
         self.taken += len(data)
         self.parse(data)
         if self.pool.streams and self.sink is None and not self.complete and self.is_long():
-            self.begin_stream(attempt)
+            self.long_answer(attempt)
         if self.sink is not None and self.attempt is attempt:
             self.pass_on(self.sink)
         if self.attempt is not attempt:
@@ -300,6 +304,15 @@
             return False
         return self.parser.get_status_code() == 200 and max(self.length or 0, self.size) > MOST_BODY
 
+    def long_answer(self, attempt: Attempt) -> None:
+        """One that is too long to be kept whole: passed on if it is the attempt's own, and never else."""
+        if self.pool.dialect.belongs(self, attempt):
+            self.begin_stream(attempt)
+        elif self.answers_to and self.answers_to != attempt.id:
+            self.parts.clear()  # another request's, late: this one's own may follow it
+        else:
+            attempt.end(Answer(Outcome.BROKEN))
+
     def begin_stream(self, attempt: Attempt) -> None:
         owner = attempt.owner
         if owner is None:
@@ -412,6 +425,9 @@
         elif name in (b"content-type", b"content-encoding"):
             connection.headers += b"%b: %b\r\n" % (name.title(), value)
 
+    def belongs(self, connection: BackendConnection, attempt: Attempt) -> bool:
+        return True  # nothing in these heads tells
+
     def judge(self, connection: BackendConnection, attempt: Attempt, body: bytes) -> Answer:
         if connection.status == 200:
             return Answer(Outcome.SERVED, body, connection.units, connection.headers)
--- a/tests/edge/test_fences.py
+++ b/tests/edge/test_fences.py
@@ -49,6 +49,9 @@
     (SPOILT, Fence(
         "own-answer", "embersill.edge.dialect", "an answer without its seal passes for the backend's",
         "if status < 300 and not connection.units:", "if False:")),
+    ("test_sockets.py::test_a_long_answer_is_passed_on_only_if_it_is_the_requests_own", Fence(
+        "own-stream", "embersill.net.backends", "a long answer is passed on to whoever waits there",
+        "if self.pool.dialect.belongs(self, attempt):", "if True:")),
     ("test_parts.py::test_requests_that_come_before_any_configuration_wait_for_it_and_not_for_long", Fence(
         "early-end", "embersill.edge.doors", "requests wait for a configuration as long as it takes",
         "late = [one for one in self.early if now >= one.until]", "late: list[Early] = []")),
--- a/tests/edge/test_sockets.py
+++ b/tests/edge/test_sockets.py
@@ -196,6 +196,30 @@
     play(tmp_path, spoils, then)
 
 
+@pytest.mark.parametrize("kind", ["late", "unsealed", "nameless", "own"])
+def test_a_long_answer_is_passed_on_only_if_it_is_the_requests_own(tmp_path: Path, kind: str) -> None:
+    """Over 64 KiB an answer is passed on as it comes: its head has to tell whose it is by then."""
+    long = b"x" * 200_000
+
+    def answers(path: bytes, headers: dict[bytes, bytes]) -> bytes | None:
+        if kind == "late":
+            return answer({b"x-attempt-id": b"another"}, body=long) + answer(headers)
+        if kind == "nameless":
+            return answer(headers, body=long).replace(b"X-Attempt-Id", b"X-Other-Name")
+        return answer(headers, body=long, more=SEAL if kind == "own" else b"")
+
+    async def then(ports: list[int], backend: Backend, systems: list[System]) -> None:
+        status, _, body = await call("127.0.0.4", ports[0], try_of(1, "/p1/x", method="POST"))
+        wanted = {"late": (200, b"whole"), "own": (200, long)}
+        if kind in wanted:
+            assert (status, body) == wanted[kind]
+        else:
+            assert status == 502 and long not in body
+        assert len(backend.seen) == 1
+
+    play(tmp_path, answers, then)
+
+
 def test_a_backends_own_failure_goes_back_as_it_is(tmp_path: Path) -> None:
     async def then(ports: list[int], backend: Backend, systems: list[System]) -> None:
         status, headers, body = await call("127.0.0.4", ports[0], try_of(1, "/p1/x", method="POST"))
