--- a/embersill/edge/agreement.py
+++ b/embersill/edge/agreement.py
@@ -12,25 +12,21 @@
 
 import random
 from collections.abc import Callable
-from typing import Any
 
-import expression
 import msgspec
-from expression import Error, Ok
 
 from embersill.council.member import How, Member, Result
 from embersill.council.messages import AnyAnswer, AnyAsk, Answer, Ask, Entry
 from embersill.council.register import Register, Whole
 from embersill.council.terms import CouncilTerms
-from embersill.edge import rollouts
-from embersill.edge.document import EMPTY, Refusal, State, changed, stand, write_version
+from embersill.edge.document import EMPTY, State
 from embersill.edge.handover import Handover
-from embersill.edge.lapses import ordered
 from embersill.edge.lease import Lease
 from embersill.edge.persistence import Persistence
+from embersill.edge.proposals import Make, Proposal
 from embersill.edge.records import Effects, Message, Roster, Seat, Stored, Value
 from embersill.edge.serial import Serial
-from embersill.edge.verdict import Verdict, done, refused, unknown
+from embersill.edge.verdict import Verdict, done, refused
 
 KEY = "configuration"
 TERMS = CouncilTerms(attempt=0.3, within=0.85, settle=0.15, hello_every=0.5, back_off=0.02, most_back_off=0.2)
@@ -40,14 +36,21 @@
 READ_AGAIN = 0.25  # seconds after a look that no majority answered
 
 Decided = Callable[[Verdict, State | None], None]
-DecidedState = expression.Result[State, Refusal]
 
 
 class Agreement:
     """One gateway's part in it: a member if it is on the roster, else one that only knows the roster."""
 
-    def __init__(self, me: str, store: str, effects: Effects, chance: random.Random, now: float,
-                 life: str = "", durable: bool = True) -> None:
+    def __init__(
+        self,
+        me: str,
+        store: str,
+        effects: Effects,
+        chance: random.Random,
+        now: float,
+        life: str = "",
+        durable: bool = True,
+    ) -> None:
         """`life`: names this life of the process. `durable`: False where nothing can be kept, so that this
         gateway takes no seat even if the roster names it."""
         self.me, self.store, self.effects, self.chance, self.now = me, store, effects, chance, now
@@ -76,8 +79,11 @@
 
     def begin(self, roster: Roster, base: State | None) -> None:
         """A later epoch. Without its base only the roster is known, and its members give the rest."""
-        if self.roster is not None and roster.epoch <= self.roster.epoch and (
-                base is None or self.member is not None or self.me not in roster.members or not self.durable):
+        if (
+            self.roster is not None
+            and roster.epoch <= self.roster.epoch
+            and (base is None or self.member is not None or self.me not in roster.members or not self.durable)
+        ):
             return
         if base is None and self.me in roster.members:
             return  # told by one that does not know it: another will
@@ -117,7 +123,8 @@
             register.load(None)
         self.member = Member(register, TERMS, self.chance, self.now)
         self.persistence = Persistence(
-            register, self.roster, self.base, self.effects, loaded, self.handover.saved)
+            register, self.roster, self.base, self.effects, loaded, self.handover.saved
+        )
         self.member.on_learned = self.persistence.save
         self.lease.follow(self.read_interval)
         self.read_at = self.now
@@ -130,6 +137,7 @@
 
     @property
     def votes(self) -> bool:
+        """True while this member may vote in its epoch."""
         return self.member is not None and self.member.register.votes
 
     # messages
@@ -158,6 +166,7 @@
             self.deliver()
 
     def answer(self, ask: Ask, reply: Callable[[Answer], None]) -> None:
+        """Has the register answer a question; `reply` hears the answer once what it rests on is on disk."""
         if self.member is not None and self.persistence is not None:
             answer = self.member.register.handle(ask)
             self.persistence.after_save(lambda: reply(answer))
@@ -173,8 +182,13 @@
             for name, number, ask in out:
                 if name != self.me:
                     asked = msgspec.to_builtins(ask)
-                    message = {"kind": "ask", "epoch": roster.epoch, "n": number, "life": self.life,
-                               "ask": asked}
+                    message = {
+                        "kind": "ask",
+                        "epoch": roster.epoch,
+                        "n": number,
+                        "life": self.life,
+                        "ask": asked,
+                    }
                     self.effects.mail.append((name, message))
                     continue
 
@@ -194,10 +208,14 @@
         """The epoch, for a peer; with what it begins with if the peer is to sit in it."""
         assert self.roster is not None
         knows = peer in self.roster.members and self.knows_base
-        return {"kind": "roster", "roster": msgspec.to_builtins(self.roster),
-                "base": self.base if knows else None}
+        return {
+            "kind": "roster",
+            "roster": msgspec.to_builtins(self.roster),
+            "base": self.base if knows else None,
+        }
 
     def tick(self, now: float) -> None:
+        """What is due by now: operations, the disk, the next quorum read."""
         self.now = max(self.now, now)
         member = self.member
         if member is None or self.persistence is None:
@@ -212,9 +230,11 @@
     # what is agreed on
 
     def value(self, entry: Entry | None) -> Value:
+        """What an entry of the register holds; the epoch's base where there is none."""
         return Value(self.base) if entry is None else msgspec.json.decode(entry.data, type=Value)
 
     def looked(self, result: Result, now: float) -> None:
+        """A quorum read of this member's own has ended."""
         if result.how in (How.DONE, How.REFUSED):
             self.chosen(self.value(result.entry), result.began)
             return
@@ -254,27 +274,7 @@
         """Asks whether a majority vouches for this member from now on; `ended` hears it, once."""
         self.read(lambda verdict, state: ended(state is not None))
 
-    def change(self, method: str, body: Any, decided: Decided) -> None:
-        """Lays an operator's change on the newest state. `decided` hears once it is certain, or can't be."""
-        return self.decide(lambda state: changed(state, method, body), decided)
-
-    def order(self, tenant: str, body: Any, decided: Decided) -> None:
-        """Lays an operator's wish about a lapsed tenant on the newest state, as a change of configuration."""
-        return self.decide(lambda state: ordered(state, tenant, body), decided)
-
-    def roll_out(self, body: Any, decided: Decided) -> None:
-        """Lays an operator's wish about a policy on the newest state."""
-        return self.decide(lambda state: rollouts.ordered(state, body), decided)
-
-    def lay(self, change: Callable[[State], State | None], decided: Decided) -> None:
-        """Lays what a holder of a duty has decided on the newest state, if that still wants it."""
-        def made(state: State) -> DecidedState:
-            after = change(state)
-            return Ok(after) if after is not None else Error(Refusal(412, "it is not so any more"))
-
-        return self.decide(made, decided)
-
-    def decide(self, make: Callable[[State], DecidedState], decided: Decided) -> None:
+    def decide(self, make: Make, decided: Decided) -> None:
         """Lays what `make` makes of the newest state, after what was asked for here before."""
         asked_at = self.now
 
@@ -293,37 +293,20 @@
         if not self.changes.run(begin):
             decided(refused(503, "too many changes wait"), None)
 
-    def write(self, member: Member, make: Callable[[State], DecidedState], decided: Decided) -> None:
-        why: list[Refusal] = []
-        taken: list[State] = []
+    def write(self, member: Member, make: Make, decided: Decided) -> None:
+        """Writes by way of this member; `decided` hears once it is certain, or can't be."""
+        proposal = Proposal(make)
 
         def laid(found: Entry | None) -> bytes | None:
-            why.clear()
-            taken.clear()
-            value = self.value(found)
-            if value.next is not None:
-                why.append(Refusal(503, "the members are changing"))
-                return None
-            made = make(value.state)
-            if made.is_error():
-                why.append(made.error)
-                return None
-            if made.ok is value.state:
-                taken.append(value.state)
-                return None
-            return msgspec.json.encode(Value(made.ok))
+            following = proposal.try_on(self.value(found))
+            return msgspec.json.encode(following) if following is not None else None
 
         def ended(result: Result, now: float) -> None:
-            if result.how in (How.DONE, How.REFUSED):
-                value = self.value(result.entry)
-                self.chosen(value, result.began)
-                if result.how is How.DONE or taken:
-                    told = {"version": write_version(value.state["version"])}
-                    return decided(done({**told, "number": stand(value.state)[1]}), value.state)
-                return decided(refused(why[-1].status, why[-1].why), None)
-            if result.how is How.UNKNOWN:
-                return decided(unknown("no majority answers; it may be in force"), None)
-            return decided(refused(503, "no majority answers"), None)
+            if result.how not in (How.DONE, How.REFUSED):
+                return decided(proposal.verdict(result.how, EMPTY), None)
+            value = self.value(result.entry)
+            self.chosen(value, result.began)
+            return decided(proposal.verdict(result.how, value.state), value.state)
 
         member.write(KEY, laid, ended, self.now)
         self.deliver()
@@ -340,5 +323,3 @@
 
         self.member.write(KEY, sealed, self.looked, self.now)
         self.deliver()
-
-
--- a/embersill/edge/calls.py
+++ b/embersill/edge/calls.py
@@ -17,6 +17,7 @@
 from embersill.edge.cell import Cell
 from embersill.edge.document import State, stand
 from embersill.edge.lapses import lapses_of
+from embersill.edge.proposals import change_of, lapse_of, rollout_of
 from embersill.edge.records import Effects, Message
 from embersill.edge.reports import Reports
 from embersill.edge.roll import Hello, Roll
@@ -89,6 +90,7 @@
         return Passed(what, body, answered, now + CHANGE_WITHIN, members)
 
     def others(self) -> list[str]:
+        """The linked members of the core but this gateway."""
         return [name for name in self.roll.core if name != self.me.name]
 
     def pass_on(self, passed: Passed, now: float) -> None:
@@ -173,11 +175,11 @@
         if what in READS:
             return self.agreement.read(decided)
         if what == "rollout":
-            return self.agreement.roll_out(body, decided)
+            return self.agreement.decide(rollout_of(body), decided)
         if what == "lapse":
             wish = {name: value for name, value in body.items() if name != "id"}
-            return self.agreement.order(str(body.get("id", "")), wish, decided)
-        return self.agreement.change(what, body, decided)
+            return self.agreement.decide(lapse_of(str(body.get("id", "")), wish), decided)
+        return self.agreement.decide(change_of(what, body), decided)
 
     def read(self, what: str, state: State) -> Verdict:
         """What a read tells of the state."""
--- a/embersill/edge/cell.py
+++ b/embersill/edge/cell.py
@@ -26,6 +26,8 @@
 
 
 class Cell:
+    """The registry of backends at one gateway: heartbeats where it is a member, news everywhere."""
+
     def __init__(self, me: Hello, roll: Roll, effects: Effects, beat_every: float) -> None:
         self.me, self.roll, self.effects, self.beat_every = me, roll, effects, beat_every
         self.instances = Instances(me.name)
@@ -64,6 +66,7 @@
 
     @property
     def in_core(self) -> bool:
+        """True where this gateway is a member of the core."""
         return self.me.name in self.roll.core
 
     def linked(self, peer: str) -> None:
@@ -73,14 +76,16 @@
             self.effects.mail.append((peer, self.message(known)))
 
     def unlinked(self, peer: str) -> None:
+        """A gateway is not linked any more."""
         self.departures.unlinked(peer, self.now)
 
     def message(self, news: list[Instance]) -> Message:
+        """News as a message, under the next number."""
         self.number += 1
-        return {"kind": "news", "n": self.number, "life": self.me.boot,
-                "backends": msgspec.to_builtins(news)}
+        return {"kind": "news", "n": self.number, "life": self.me.boot, "backends": msgspec.to_builtins(news)}
 
     def heard(self, peer: str, message: Message, now: float) -> None:
+        """News of another gateway's, or its acknowledgement of what was sent from here."""
         self.now = now
         if message["kind"] == "known":
             return self.departures.acked(peer, int(message["n"]), now)
@@ -144,6 +149,7 @@
         return self.departures.begin(leaving, number, self.roll.linked, answered, self.now)
 
     def tick(self, now: float) -> None:
+        """What is due by now: departures, backends that fell silent, the disk."""
         self.now = now
         self.departures.tick(now)
         if self.in_core:
@@ -169,8 +175,8 @@
         if 2 * len(self.roll.core) <= len(members):
             return
         away = self.roll.away
-        lost = [one for one in self.instances.orphans([*self.roll.linked, self.me.name])
-                if now - away.get(one.keeper, now) >= ADOPT_AFTER]
+        orphans = self.instances.orphans([*self.roll.linked, self.me.name])
+        lost = [one for one in orphans if now - away.get(one.keeper, now) >= ADOPT_AFTER]
         mine = [one for one in lost if not one.lost and self.roll.keeper(one.zone) == self.me.name]
         if mine:
             self.instances.adopt(mine, now)
--- a/embersill/edge/departures.py
+++ b/embersill/edge/departures.py
@@ -97,11 +97,13 @@
             self.end(departure, refused(503, NO_MAJORITY))
 
     def end(self, departure: Departure, verdict: Verdict) -> None:
+        """Answers all calls that wait for this departure."""
         del self.open[departure.leaving]
         for answered in departure.answers:
             answered(verdict)
 
     def tick(self, now: float) -> None:
+        """What is due by now."""
         for departure in list(self.open.values()):
             self.settle(departure, now)
         for leaving, since in list(self.acknowledged.items()):
--- a/embersill/edge/duty.py
+++ b/embersill/edge/duty.py
@@ -10,6 +10,7 @@
 
 from embersill.edge.agreement import Agreement
 from embersill.edge.document import State
+from embersill.edge.proposals import step_of
 from embersill.edge.ring import by_place
 from embersill.edge.roll import Hello, Roll
 from embersill.edge.verdict import Verdict
@@ -20,8 +21,17 @@
 
 
 class Duty:
-    def __init__(self, name: str, me: Hello, roll: Roll, agreement: Agreement, holder: Callable[[], str],
-                 held: Callable[[State, str, str], State | None]) -> None:
+    """One member's part in a duty: whether it has it, takes it over, or hands it on."""
+
+    def __init__(
+        self,
+        name: str,
+        me: Hello,
+        roll: Roll,
+        agreement: Agreement,
+        holder: Callable[[], str],
+        held: Callable[[State, str, str], State | None],
+    ) -> None:
         """`name`: on the ring. `holder`: by the record as it is in force here. `held`: lays another one."""
         self.name, self.me, self.roll, self.agreement = name, me, roll, agreement
         self.holder, self.held = holder, held
@@ -43,6 +53,7 @@
         return False
 
     def take_over(self, holder: str) -> None:
+        """Takes the duty of a holder that has been lost for a while, if it is next by the ring."""
         there = self.roll.core
         if holder in there:
             self.lost_at = None
@@ -60,6 +71,7 @@
             self.pass_on(self.me.name, by_place(self.name, others)[0])
 
     def pass_on(self, before: str, holder: str) -> None:
+        """Names another holder on the record."""
         self.lay(lambda state: self.held(state, before, holder), f"duty name={self.name} holder={holder}")
 
     def lay(self, change: Change, what: str) -> None:
@@ -71,4 +83,4 @@
             self.again_at = self.now + (0.0 if state is not None else AGAIN_AFTER)
             self.on_view(f"{what} status={verdict.status}")
 
-        self.agreement.lay(change, decided)
+        self.agreement.decide(step_of(change), decided)
--- a/embersill/edge/founding.py
+++ b/embersill/edge/founding.py
@@ -32,10 +32,13 @@
 
 
 def order(ip: str) -> tuple[int, ...]:
+    """An IP number as a key to sort by."""
     return tuple(int(part) for part in ip.split("."))
 
 
 class Founding:
+    """One gateway's part in the first epoch and in changes of membership."""
+
     def __init__(self, me: Hello, roll: Roll, agreement: Agreement, now: float) -> None:
         self.requirements = Requirements()
         self.stopping = False  # this gateway was told to stop
@@ -49,6 +52,7 @@
         self.again_at = now
 
     def tick(self, now: float) -> None:
+        """Founds the first epoch or changes the membership, if that is due."""
         if self.agreement.roster is None:
             self.begin(now)
         elif self.agreement.votes and now >= self.again_at:
@@ -64,8 +68,11 @@
             self.found, self.last = len(cores), now
         if not cores or now - self.born < SETTLED:
             return
-        if now - self.last >= SETTLED and len(self.roll.linked) >= len(self.roll.seeds) or (
-                now - self.born >= AT_LATEST):
+        if (
+            now - self.last >= SETTLED
+            and len(self.roll.linked) >= len(self.roll.seeds)
+            or (now - self.born >= AT_LATEST)
+        ):
             members = {hello.name: Seat(hello.ip, hello.store) for hello in spread(cores)[:MOST_SEATS]}
             self.agreement.begin(Roster(1, members), EMPTY)
             self.send_all()
@@ -85,8 +92,13 @@
         there = sorted(self.roll.core)
         self.missing = {name: self.missing.get(name, now) for name in roster.members if name not in there}
         wanted = next_members(
-            roster, self.candidates(roster), {name: now - since for name, since in self.missing.items()},
-            self.leaving(), {name: hello.zone for name, hello in self.roll.seen.items()}, self.requirements)
+            roster,
+            self.candidates(roster),
+            {name: now - since for name, since in self.missing.items()},
+            self.leaving(),
+            {name: hello.zone for name, hello in self.roll.seen.items()},
+            self.requirements,
+        )
         if wanted != self.wanted:
             self.wanted, self.wanted_at = wanted, now
         delay = STAGGER * there.index(self.me.name) if self.me.name in there else math.inf
@@ -96,9 +108,13 @@
 
     def candidates(self, roster: Roster) -> list[Candidate]:
         """Machines of the core without a seat that have the state in force: a learner counts for nothing."""
-        return [Candidate(hello.name, hello.zone, Seat(hello.ip, hello.store)) for hello in self.roll.cores()
-                if hello.name not in roster.members and not hello.leaving and self.up_to_date(hello.name)]
+        return [
+            Candidate(hello.name, hello.zone, Seat(hello.ip, hello.store))
+            for hello in self.roll.cores()
+            if hello.name not in roster.members and not hello.leaving and self.up_to_date(hello.name)
+        ]
 
     def leaving(self) -> set[str]:
+        """Members that were told to stop, as far as they are linked."""
         linked = {hello.name for hello in self.roll.linked.values() if hello.leaving}
         return linked | {self.me.name} if self.stopping else linked
--- a/embersill/edge/instances.py
+++ b/embersill/edge/instances.py
@@ -46,6 +46,7 @@
 
     @property
     def order(self) -> tuple[int, int, bool]:
+        """The later of two states of one life is the greater."""
         return RANKS[self.state], self.sequence, self.lost
 
     @property
@@ -55,10 +56,20 @@
 
 
 def instance(name: str, beat: Beat, keeper: str) -> Instance:
+    """A backend as a heartbeat tells of it."""
     state = beat["state"] if beat["state"] in RANKS else READY
     cold = max(beat.get("warmup_remaining_s", 0.0), 0.0)
-    return Instance(name, beat["service"], beat["address"], beat["zone"], max(beat["capacity_slots"], 0),
-                    state, beat["call_sequence"], cold, keeper)
+    return Instance(
+        name,
+        beat["service"],
+        beat["address"],
+        beat["zone"],
+        max(beat["capacity_slots"], 0),
+        state,
+        beat["call_sequence"],
+        cold,
+        keeper,
+    )
 
 
 class Instances:
@@ -83,7 +94,11 @@
                 self.gone_at[one.id] = now
             self.known[one.id] = one
             if before is None or (one.state, one.lost, one.keeper, one.address) != (
-                    before.state, before.lost, before.keeper, before.address):
+                before.state,
+                before.lost,
+                before.keeper,
+                before.address,
+            ):
                 news.append(one)
         return news
 
@@ -122,6 +137,7 @@
             self.heard[one.id] = now
 
     def forget(self, now: float) -> None:
+        """Drops lives that ended long ago."""
         for name, at in list(self.gone_at.items()):
             if now - at > KEPT_FOR:
                 del self.gone_at[name]
--- a/embersill/edge/reports.py
+++ b/embersill/edge/reports.py
@@ -21,6 +21,8 @@
 
 @dataclass(slots=True)
 class Asked:
+    """A question that is open."""
+
     told: Told
     until: float
     waits_for: set[str]
@@ -44,17 +46,20 @@
         asked = self.open[self.number] = Asked(told, now + WITHIN, set(self.roll.linked))
         asked.found[self.me.name] = self.own(subject)
         for name in self.roll.linked:
-            self.effects.mail.append((name, {
-                "kind": self.kind, "n": self.number, "life": self.me.boot, "subject": subject}))
+            self.effects.mail.append(
+                (name, {"kind": self.kind, "n": self.number, "life": self.me.boot, "subject": subject})
+            )
         if not asked.waits_for:
             self.end(self.number)
 
     def heard(self, peer: str, message: Message) -> None:
+        """A gateway's question, or its answer to one from here."""
         number = int(message["n"])
         if message["kind"] == self.kind:
             counts = self.own(str(message["subject"]))
-            self.effects.mail.append((peer, {
-                "kind": f"{self.kind}ed", "n": number, "life": message["life"], "counts": counts}))
+            self.effects.mail.append(
+                (peer, {"kind": f"{self.kind}ed", "n": number, "life": message["life"], "counts": counts})
+            )
             return
         asked = self.open.get(number)
         if asked is not None and peer in asked.waits_for:
@@ -64,10 +69,12 @@
                 self.end(number)
 
     def tick(self, now: float) -> None:
+        """Ends questions that have had their time."""
         for number in [number for number, one in self.open.items() if now >= one.until]:
             self.end(number)
 
     def end(self, number: int) -> None:
+        """Tells what has come."""
         asked = self.open.pop(number)
         asked.told(asked.found, sorted(asked.waits_for))
 
@@ -78,13 +85,23 @@
     def __init__(self, me: Hello, roll: Roll, effects: Effects) -> None:
         self.figures = Figures()
         self.gather = Gather(
-            "report", me, roll, effects, lambda tenant: msgspec.to_builtins(self.figures.of(tenant)))
+            "report", me, roll, effects, lambda tenant: msgspec.to_builtins(self.figures.of(tenant))
+        )
 
     def ask(self, tenant: str, answered: Callable[[Verdict], None], now: float) -> None:
+        """Gathers what all gateways have counted for a tenant."""
+
         def came(counts: dict[str, Any], silent: list[str]) -> None:
             found = {name: msgspec.convert(one, Labelled) for name, one in counts.items()}
-            answered(done({
-                "tenant": tenant, "silent": silent, "whole": told(added(found.values())),
-                "gateways": {name: told(one) for name, one in sorted(found.items()) if one}}))
+            answered(
+                done(
+                    {
+                        "tenant": tenant,
+                        "silent": silent,
+                        "whole": told(added(found.values())),
+                        "gateways": {name: told(one) for name, one in sorted(found.items()) if one},
+                    }
+                )
+            )
 
         self.gather.ask(tenant, came, now)
--- a/embersill/edge/roll.py
+++ b/embersill/edge/roll.py
@@ -39,6 +39,8 @@
 
 
 class Roll:
+    """The gateways that are linked here, and those that were."""
+
     def __init__(self, me: Hello, seeds: Iterable[str], effects: Effects, now: float) -> None:
         """`seeds`: IP numbers."""
         self.me, self.seeds, self.effects = me, [ip for ip in seeds if ip != me.ip], effects
@@ -53,11 +55,13 @@
         self.count = 1
 
     def link(self, hello: Hello, now: float) -> None:
+        """A gateway is linked."""
         self.linked[hello.name] = self.seen[hello.name] = hello
         self.heard_at[hello.name] = now
         self.away.pop(hello.name, None)
 
     def unlink(self, name: str, now: float) -> None:
+        """A gateway is not linked any more."""
         if self.linked.pop(name, None) is not None:
             self.away[name] = self.heard_at.pop(name)
             self.others.pop(name, None)
@@ -113,6 +117,7 @@
         return gone + [name for name, at in self.heard_at.items() if now - at > UNHEARD]
 
     def tick(self, now: float) -> None:
+        """Forgets who was away for long, and counts those that are there."""
         for name, since in list(self.away.items()):
             if now - since > DROP_AFTER:
                 del self.away[name], self.seen[name]
@@ -133,5 +138,6 @@
         self.floor, self.floor_until = count, now + LINKED_WITHIN
 
     def heard(self, peer: str, message: Message) -> None:
+        """A member of the core tells how many gateways it counts."""
         if self.roster is not None and peer in self.roster.members:
             self.others[peer] = max(int(message["count"]), 1)
--- a/embersill/edge/serial.py
+++ b/embersill/edge/serial.py
@@ -27,10 +27,12 @@
         return True
 
     def next(self) -> None:
+        """Begins what may be begun."""
         while self.waiting and not self.running:
             self.running = True
             self.waiting.popleft()(self.finished)
 
     def finished(self) -> None:
+        """The operation that runs has ended."""
         self.running = False
         self.next()
--- a/embersill/edge/verdict.py
+++ b/embersill/edge/verdict.py
@@ -24,6 +24,7 @@
 
 
 def refused(status: int, why: str) -> Verdict:
+    """Not done, and never will be."""
     return Verdict(status, Ran.NO, {"error_message": why})
 
 
@@ -33,4 +34,5 @@
 
 
 def done(body: dict[str, object] | None = None) -> Verdict:
+    """Done."""
     return Verdict(200, Ran.YES, body or {})
--- a/embersill/lab/edge/control.py
+++ b/embersill/lab/edge/control.py
@@ -34,11 +34,13 @@
     seconds: list[float] = field(default_factory=list)  # a figure of the scenario's, as it says
 
     def expect(self, good: bool, why: str) -> None:
+        """Notes what is wrong unless it is good."""
         if not good:
             self.wrong.append(why)
 
 
 def node_of(machine: Machine) -> Node:
+    """The node of a machine that is up."""
     assert machine.node is not None, f"{machine.name} is down"
     return machine.node
 
@@ -498,6 +500,7 @@
 
 
 def main(options: argparse.Namespace) -> int:
+    """Plays and prints; 1 if anything went wrong."""
     found = play(options.runs, options.seed)
     print(json.dumps(found))
     return 1 if any(point["bad"] for point in found.values()) else 0
--- a/embersill/lab/edge/days.py
+++ b/embersill/lab/edge/days.py
@@ -44,6 +44,7 @@
 
 
 def moment(chance: random.Random, earliest: float, latest: float) -> float:
+    """Seconds from the start of traffic."""
     return round(chance.uniform(earliest, latest), 2)
 
 
@@ -222,6 +223,7 @@
 
 
 def main(options: argparse.Namespace) -> int:
+    """Prints a day."""
     site = tomllib.loads(options.site.read_text())
     sys.stdout.write(tomli_w.dumps({"day": [day(site, options.point, options.seed)]}))
     return 0
