--- a/tests/edge/test_fences.py
+++ b/tests/edge/test_fences.py
@@ -11,6 +11,7 @@
 
 CELL, SUMS, NODE = "embersill.edge.cell", "embersill.edge.sums", "embersill.edge.node"
 PERSISTENCE, DEPARTURES = "embersill.edge.persistence", "embersill.edge.departures"
+STATES = "test_connection_states.py::test_how_an_attempt_ends_and_that_the_next_one_has_its_own_answer"
 MEMBERSHIP, CONTROL = "embersill.edge.membership", "test_control.py::test_"
 ROLLOUT, ROLLOUTS = "test_rollout.py::test_", "embersill.edge.rollouts"
 DECIDING = "embersill.edge.deciding"
@@ -52,6 +53,15 @@
     ("test_sockets.py::test_a_long_answer_is_passed_on_only_if_it_is_the_requests_own", Fence(
         "own-stream", "embersill.net.backends", "a long answer is passed on to whoever waits there",
         "if self.pool.dialect.belongs(self, attempt):", "if True:")),
+    (STATES, Fence(
+        "own-id", "embersill.edge.dialect", "another request's answer is taken for this one's",
+        "if connection.answers_to != attempt.id and (connection.answers_to or status < 300):", "if False:",
+        (("embersill.net.backends",
+          "if self.answers_to and self.attempt is not None and self.answers_to != self.attempt.id:",
+          "if False:"),))),
+    (STATES, Fence(
+        "may-have-run", "embersill.net.backends", "a reset after the whole request counts as not run",
+        "Outcome.NO_CONNECTION if self.unsent else Outcome.BROKEN", "Outcome.NO_CONNECTION")),
     ("test_parts.py::test_requests_that_come_before_any_configuration_wait_for_it_and_not_for_long", Fence(
         "early-end", "embersill.edge.doors", "requests wait for a configuration as long as it takes",
         "late = [one for one in self.early if now >= one.until]", "late: list[Early] = []")),
