--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -236,6 +236,19 @@
     }
 
 
+def table(run: dict[str, Any]) -> list[str]:
+    """The page's table of a kept run, a line each."""
+    lines = [
+        "| figure | by | constant | slope | r2 | at the target | held back, error |",
+        "|---|---|---|---|---|---|---|",
+    ]
+    for fit in run["fits"]:
+        law = f"{fit['constant']:,.1f} | {fit['slope']:,.4f} | {fit['r2']:.4f} | {fit['at_target']:,.0f}"
+        check = f"{fit['held_back']:,}, {100 * fit['error']:+.1f} %"
+        lines.append(f"| {fit['figure']}, {fit['unit']} | {fit['varied']} | {law} | {check} |")
+    return lines
+
+
 def main() -> None:
     """Measures and prints."""
     parser = argparse.ArgumentParser(description=__doc__)
