A heartbeat's body is made in one place, for scenarios and tests alike

Need: `lab.edge.control.beat` was written again beside the one of test_system.py. Change: the test calls it; assertions stay as they were. The rest was not run again.

--- a/tests/edge/test_system.py
+++ b/tests/edge/test_system.py
@@ -8,14 +8,10 @@
 import pytest
 
 from embersill.edge.verdict import Verdict
+from embersill.lab.edge.control import beat
 from embersill.lab.edge.fleet import Fleet, Machine, change
 
 
-def beat(state: str = "ready", sequence: int = 1, zone: str = "a") -> dict[str, object]:
-    return {"id": "i-1", "service": "s", "address": "10.1.0.1:80", "zone": zone, "capacity_slots": 2,
-            "state": state, "call_sequence": sequence}
-
-
 def founded(seed: int, cores: int = 3, others: int = 2) -> Fleet:
     fleet = Fleet(seed, cores, others)
     fleet.run(3.0)
