--- a/embersill/rig/deployment.py
+++ b/embersill/rig/deployment.py
@@ -53,6 +53,7 @@
     zones: dict[str, list[str]] = field(default_factory=dict)
     helpers: int = 0  # other planners over which forwarders reach each one
     tell_refusals: bool = False  # forwarders write a line on each
+    terms: dict[str, float] = field(default_factory=dict)  # of tiers/terms.py, where not the usual
 
 
 class Deployment:
@@ -169,7 +170,8 @@
                  'secret_file = "secret"', f"status_every = {self.shape.status_every}",
                  f"helpers = {self.shape.helpers}",
                  f"tell_refusals = {str(self.shape.tell_refusals).lower()}", "[tiers.planners]",
-                 *(f'{p} = "{address}"' for p, address in planners.items())]
+                 *(f'{p} = "{address}"' for p, address in planners.items()),
+                 "[tiers.terms]", *(f"{name} = {seconds}" for name, seconds in self.shape.terms.items())]
         text = "\n".join(lines) + "\n"
         if role == "planner":
             text += self.shape.operator + self.council_text(name)
