--- a/embersill/edge/__main__.py
+++ b/embersill/edge/__main__.py
@@ -27,6 +27,7 @@
     level = "info"
     if told:
         from embersill.edge.command import carry_out, parser  # a gateway's own start does without
+
         chosen = parser().parse_args(told)
         if chosen.command not in (None, "gateway"):
             return carry_out(chosen)
--- a/embersill/edge/check.py
+++ b/embersill/edge/check.py
@@ -41,8 +41,11 @@
         missing = required - value.keys()
         if missing:
             raise Misfit(f"{where}: no {min(missing)}")
-        return {name: walk(value[name], hint, f"{where}.{name}", depth + 1)
-                for name, hint in hints.items() if name in value}
+        return {
+            name: walk(value[name], hint, f"{where}.{name}", depth + 1)
+            for name, hint in hints.items()
+            if name in value
+        }
     if origin is list:
         if not isinstance(value, list):
             raise Misfit(f"{where}: not a list")
--- a/embersill/edge/command.py
+++ b/embersill/edge/command.py
@@ -44,15 +44,29 @@
 def check_settings(chosen: argparse.Namespace) -> Found:
     """The settings file of a process, as its start would read it."""
     return read_local({VARIABLE: chosen.subject}).map(
-        lambda local: {"node_name": local["node_name"], "zone": local["zone"],
-                       "seeds": len(local["seed_nodes"]), "keeps_state": bool(local.get("data_directory"))})
+        lambda local: {
+            "node_name": local["node_name"],
+            "zone": local["zone"],
+            "seeds": len(local["seed_nodes"]),
+            "keeps_state": bool(local.get("data_directory")),
+        }
+    )
 
 
 def check_configuration(chosen: argparse.Namespace) -> Found:
     """A whole configuration, as an operator would send it, checked as it would be then."""
-    return read_json(chosen.subject).bind(read_document).map(
-        lambda read: {"version": read["version"], "routes": len(read["routes"]),
-                      "services": len(read["services"]), "tenants": len(read.get("tenants", {}))})
+    return (
+        read_json(chosen.subject)
+        .bind(read_document)
+        .map(
+            lambda read: {
+                "version": read["version"],
+                "routes": len(read["routes"]),
+                "services": len(read["services"]),
+                "tenants": len(read.get("tenants", {})),
+            }
+        )
+    )
 
 
 def check_store(chosen: argparse.Namespace) -> Found:
@@ -71,12 +85,17 @@
             read = read_document(state["document"])
             if read.is_error():
                 return Error(f"{path}: the configuration in force: {read.error}")
-        return Ok({
-            "store": stored.store, "epoch": begun.roster.epoch if begun else 0,
-            "members": sorted(begun.roster.members) if begun else [],
-            "remembers": bool(begun and kept and kept.epoch == begun.roster.epoch),
-            "version": write_version(state["version"]) if state is not None else None,
-            "backends": len(backends), "gateways": stored.gateways})
+        return Ok(
+            {
+                "store": stored.store,
+                "epoch": begun.roster.epoch if begun else 0,
+                "members": sorted(begun.roster.members) if begun else [],
+                "remembers": bool(begun and kept and kept.epoch == begun.roster.epoch),
+                "version": write_version(state["version"]) if state is not None else None,
+                "backends": len(backends),
+                "gateways": stored.gateways,
+            }
+        )
 
     return look_into(Path(path)).bind(told)
 
@@ -139,17 +158,23 @@
 
 def check_policy(chosen: argparse.Namespace) -> Found:
     """A policy: what it changes against how gateways were built."""
-    return read_json(chosen.subject).bind(read_policy).map(
-        lambda policy: {"name": policy["name"], "changes": differences(AS_BUILT, policy)})
+    return (
+        read_json(chosen.subject)
+        .bind(read_policy)
+        .map(lambda policy: {"name": policy["name"], "changes": differences(AS_BUILT, policy)})
+    )
 
 
 def read_plan(chosen: argparse.Namespace) -> Found:
     """The sites file, with the order in which a policy would come to them."""
+
     def ordered(plan: Any) -> Found:
         read = checked(plan, Plan, chosen.sites)
-        return read.bind(lambda made: steps_of(
-            made["sites"], made.get("last", []), made.get("most_share", MOST_SHARE)).map(
-                lambda steps: {**made, "steps": steps}))
+        return read.bind(
+            lambda made: steps_of(
+                made["sites"], made.get("last", []), made.get("most_share", MOST_SHARE)
+            ).map(lambda steps: {**made, "steps": steps})
+        )
 
     return read_json(chosen.sites).bind(ordered)
 
@@ -178,10 +203,14 @@
 def add_rollout(commands: Any) -> None:
     made = commands.add_parser("rollout", help="carry a policy down the sites step by step")
     rollouts = made.add_subparsers(dest="what", required=True)
-    for name, text in (("plan", "the order in which a policy would come to the sites"),
-                       ("start", "begin to carry one"), ("status", "what is in force, on its way and over"),
-                       ("pause", "stay at the step it is at"), ("resume", "go on"),
-                       ("abort", "take it back everywhere at once")):
+    for name, text in (
+        ("plan", "the order in which a policy would come to the sites"),
+        ("start", "begin to carry one"),
+        ("status", "what is in force, on its way and over"),
+        ("pause", "stay at the step it is at"),
+        ("resume", "go on"),
+        ("abort", "take it back everywhere at once"),
+    ):
         one = rollouts.add_parser(name, help=text)
         one.set_defaults(does=rollout)
         if name != "plan":
@@ -210,14 +239,19 @@
     commands = made.add_subparsers(dest="command", metavar="COMMAND")
     commands.add_parser("gateway", help=f"serve, by the settings file that {VARIABLE} names (the default)")
     check = commands.add_parser("check", help="read a file as a gateway would").add_subparsers(
-        dest="what", required=True)
-    for name, does in (("settings", check_settings), ("configuration", check_configuration),
-                       ("policy", check_policy)):
+        dest="what", required=True
+    )
+    for name, does in (
+        ("settings", check_settings),
+        ("configuration", check_configuration),
+        ("policy", check_policy),
+    ):
         one = check.add_parser(name, help=does.__doc__)
         one.add_argument("subject", metavar="FILE")
         one.set_defaults(does=does)
     store = commands.add_parser("store", help="look at a gateway's own state").add_subparsers(
-        dest="what", required=True)
+        dest="what", required=True
+    )
     one = store.add_parser("check", help=check_store.__doc__)
     one.add_argument("subject", metavar="DIR")
     one.set_defaults(does=check_store)
@@ -225,11 +259,16 @@
     one.add_argument("subject", metavar="ADDRESS", help="host:port of its calls of control")
     one.set_defaults(does=status)
     lapses = commands.add_parser("lapse", help="slow a lapsed tenant down step by step").add_subparsers(
-        dest="what", required=True)
-    for name, text in (("list", "what is ordered"), ("start", "begin to slow a tenant down"),
-                       ("pause", "stay at the step it is at"), ("resume", "go on"),
-                       ("restore", "set it free at once"),
-                       ("report", "what it and all others met, by step and gateway")):
+        dest="what", required=True
+    )
+    for name, text in (
+        ("list", "what is ordered"),
+        ("start", "begin to slow a tenant down"),
+        ("pause", "stay at the step it is at"),
+        ("resume", "go on"),
+        ("restore", "set it free at once"),
+        ("report", "what it and all others met, by step and gateway"),
+    ):
         one = lapses.add_parser(name, help=text)
         one.add_argument("subject", metavar="ADDRESS", help="host:port of any gateway's calls of control")
         one.set_defaults(does=lapse)
@@ -238,8 +277,13 @@
         if name not in ("list", "report"):
             add_wish(one, "orders")
         if name == "start":
-            one.add_argument("--ladder", required=True, type=read_ladder, metavar="SHARE:SECONDS,...",
-                             help="steps, as shares of the usual rate: 0.5:60,0.2:60,0")
+            one.add_argument(
+                "--ladder",
+                required=True,
+                type=read_ladder,
+                metavar="SHARE:SECONDS,...",
+                help="steps, as shares of the usual rate: 0.5:60,0.2:60,0",
+            )
             one.add_argument("--usual", type=float, help="requests a second that shares are of (its quota)")
     add_rollout(commands)
     return made
--- a/embersill/edge/deciding.py
+++ b/embersill/edge/deciding.py
@@ -20,7 +20,17 @@
 from embersill.edge.watch import ByKind, Watch
 from embersill.fleet import Fleet
 from embersill.interface import (
-    AttemptEnded, Backend, Borrow, ClientLeft, Configured, Lent, Others, Outcome, Plan, Repeats, Settings,
+    AttemptEnded,
+    Backend,
+    Borrow,
+    ClientLeft,
+    Configured,
+    Lent,
+    Others,
+    Outcome,
+    Plan,
+    Repeats,
+    Settings,
     Sliced,
 )
 from embersill.throttle import PERIOD, Throttle
@@ -285,8 +295,11 @@
     def __init__(self, settings: Settings, seed: int, now: float) -> None:
         super().__init__(settings, seed, now)
         self.handlers |= {
-            Configured: self.configured, Lent: self.admission.lent, Sliced: self.admission.sliced,
-            Others: self.others}
+            Configured: self.configured,
+            Lent: self.admission.lent,
+            Sliced: self.admission.sliced,
+            Others: self.others,
+        }
 
     def slow(self, tenants: Mapping[str, Slowed], figures: Figures | None) -> None:
         """These tenants are slowed down from now on; `figures` counts requests where there are orders."""
--- a/embersill/edge/demand.py
+++ b/embersill/edge/demand.py
@@ -99,8 +99,9 @@
                 made[tenant] = self.sums.slice(tenant, gateway, rate, self.roll.count, silent, now, burst)
         return made
 
-    def lend(self, gateway: str, asked: dict[str, float],
-             now: float) -> tuple[dict[str, float], dict[str, float]]:
+    def lend(
+        self, gateway: str, asked: dict[str, float], now: float
+    ) -> tuple[dict[str, float], dict[str, float]]:
         """What the reserves here give a gateway, nothing of other members' tenants; and slices it lacks.
 
         One that begins to borrow goes by the even slice until it is told the one that is counted with here.
--- a/embersill/edge/dialect.py
+++ b/embersill/edge/dialect.py
@@ -8,10 +8,20 @@
 from embersill.net.backends import Answer, Attempt, BackendConnection
 
 # of one connection, or worded anew at the other end
-OWN = frozenset((
-    b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
-    b"content-length", b"proxy-authenticate", b"proxy-authorization",
-))
+OWN = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+    )
+)
 MISDIRECTED = 421
 
 
@@ -22,7 +32,10 @@
 
     def head(self, attempt: Attempt, wait: float) -> bytes:
         return b"%bX-Deadline-Remaining-Ms: %d\r\nX-Expected-Instance: %b\r\n\r\n" % (
-            attempt.head, max(int(wait * 1000), 1), attempt.backend.encode())
+            attempt.head,
+            max(int(wait * 1000), 1),
+            attempt.backend.encode(),
+        )
 
     def header(self, connection: BackendConnection, name: bytes, value: bytes) -> None:
         if name == b"x-request-not-executed":
--- a/embersill/edge/doors.py
+++ b/embersill/edge/doors.py
@@ -23,8 +23,13 @@
 
 LEFT = re.compile(rb"\d{1,9}(\.\d{1,9})?")
 NOT_PASSED = OWN | {
-    b"x-key", b"x-tenant-name", b"x-deadline-remaining-ms", b"x-expected-instance", b"x-attempt-id",
-    b"host", b"expect",
+    b"x-key",
+    b"x-tenant-name",
+    b"x-deadline-remaining-ms",
+    b"x-expected-instance",
+    b"x-attempt-id",
+    b"host",
+    b"expect",
 }
 SOON = b"Retry-After: 0.2\r\n"  # until a gateway that has just started knows more
 JSON = b"Content-Type: application/json\r\n"
@@ -86,8 +91,9 @@
         # a gateway that has just started: where clients come again only once, a 503 would lose them
         if len(self.early) >= MOST_EARLY:
             raise BadRequest(503, "no configuration yet", SOON)
-        arrived = Arrived(connection.target, connection.headers, connection.body, connection.body_size,
-                          connection.received)
+        arrived = Arrived(
+            connection.target, connection.headers, connection.body, connection.body_size, connection.received
+        )
         told = left_of(arrived.headers)
         left = float(told) / 1000.0 if LEFT.fullmatch(told) else EARLY_FOR
         until = arrived.received + min(EARLY_FOR, EARLY_PART * left)
@@ -114,8 +120,9 @@
             for one in late:
                 one.exchange.answer(503, b"no configuration yet\n", SOON)
 
-    def place(self, table: Table, arrived: Arrived | ClientConnection, exchange: Exchange,
-              method: bytes) -> None:
+    def place(
+        self, table: Table, arrived: Arrived | ClientConnection, exchange: Exchange, method: bytes
+    ) -> None:
         driver, headers = self.driver(), arrived.headers
         path = arrived.target.partition(b"?")[0].decode("latin-1")
         way = table.find(headers.get(b"host", b"").decode("latin-1"), path)
@@ -135,9 +142,25 @@
         if arrived.body_size > 65536:
             body, rest = [], arrived.body
         head = self.head(method, arrived.target, headers, arrived.body_size, call_id, tenant)
-        exchange.number = driver.take(Call(
-            call_id, arrived.received, min(budget, way.timeout), way.name, tenant, tenant, 1.0, 0, -1,
-            repeat, head, b"".join(body), way.service(self.chance.random()), rest), exchange)
+        exchange.number = driver.take(
+            Call(
+                call_id,
+                arrived.received,
+                min(budget, way.timeout),
+                way.name,
+                tenant,
+                tenant,
+                1.0,
+                0,
+                -1,
+                repeat,
+                head,
+                b"".join(body),
+                way.service(self.chance.random()),
+                rest,
+            ),
+            exchange,
+        )
 
     def tenant(self, table: Table, way: Way, headers: dict[bytes, bytes]) -> str:
         """Whose key the request carries; the public plan's name where it needs none."""
@@ -148,8 +171,15 @@
             raise BadRequest(401, "no key of a tenant")
         return found
 
-    def head(self, method: bytes, target: bytes, headers: dict[bytes, bytes], size: int, call_id: bytes,
-             tenant: str) -> bytes:
+    def head(
+        self,
+        method: bytes,
+        target: bytes,
+        headers: dict[bytes, bytes],
+        size: int,
+        call_id: bytes,
+        tenant: str,
+    ) -> bytes:
         """What goes on to a backend; the time left and the instance are added as it is sent."""
         parts = [b"%b %b HTTP/1.1\r\nHost: %b\r\n" % (method, target, headers.get(b"host", b""))]
         named = headers.get(b"connection")
@@ -184,8 +214,11 @@
 def operations() -> dict[tuple[bytes, str], str]:
     """What the interface's file names: (method, path with `{id}` cut off) to the operation's id."""
     paths = json.loads(INTERFACE.read_text())["paths"]
-    return {(method.upper().encode(), path.partition("{")[0]): operation["operationId"]
-            for path, methods in paths.items() for method, operation in methods.items()}
+    return {
+        (method.upper().encode(), path.partition("{")[0]): operation["operationId"]
+        for path, methods in paths.items()
+        for method, operation in methods.items()
+    }
 
 
 class ControlDesk:
--- a/embersill/edge/figures.py
+++ b/embersill/edge/figures.py
@@ -40,8 +40,14 @@
         return None
 
     def told(self) -> dict[str, object]:
-        return {"asked": self.let + self.refused, "served": self.let, "refused": self.refused,
-                "held": self.let - self.waits[0], "wait_p50_s": self.wait(0.5), "wait_p99_s": self.wait(0.99)}
+        return {
+            "asked": self.let + self.refused,
+            "served": self.let,
+            "refused": self.refused,
+            "held": self.let - self.waits[0],
+            "wait_p50_s": self.wait(0.5),
+            "wait_p99_s": self.wait(0.99),
+        }
 
 
 Labelled = dict[str, tuple[Counts, Counts]]  # by step's label: the tenant's own, all others'
--- a/embersill/edge/flights.py
+++ b/embersill/edge/flights.py
@@ -14,8 +14,9 @@
 class Flights:
     """Between the data plane's attempts and the node's loads."""
 
-    def __init__(self, node: Node, told: Callable[[Others], None],
-                 later: Callable[[float, Callable[[], None]], object]) -> None:
+    def __init__(
+        self, node: Node, told: Callable[[Others], None], later: Callable[[float, Callable[[], None]], object]
+    ) -> None:
         """`later`: calls something after so many seconds; one that is called after the end does nothing."""
         self.node, self.later = node, later
         self.moved: dict[str, Server] = {}  # backends at which more or less is out since it was told
--- a/embersill/edge/judging.py
+++ b/embersill/edge/judging.py
@@ -33,7 +33,7 @@
 
 def above(seen: Seen, place: int) -> int:
     """Of those served, how many took longer than that bound."""
-    return sum(seen.took[place + 1:])
+    return sum(seen.took[place + 1 :])
 
 
 def bound_for(before: Seen, tail: float) -> int:
@@ -48,8 +48,9 @@
 
 def ratio(count: int, of: int, expected: float, harmful: float) -> float:
     """The logarithm of the likelihood of harm against that of none."""
-    return (count * math.log(harmful / expected)
-            + (of - count) * math.log((1 - harmful) / (1 - expected))) / BUNCHED
+    return (
+        count * math.log(harmful / expected) + (of - count) * math.log((1 - harmful) / (1 - expected))
+    ) / BUNCHED
 
 
 def compared(count: int, of: int, before: float, drift: float) -> Literal["good", "harm", "more"]:
@@ -77,20 +78,29 @@
         for tail in TAILS:
             place = bound_for(self.before, tail)
             was = part(above(self.before, place), self.before.served)
-            drift = (part(above(self.others_now, place), self.others_now.served)
-                     - part(above(self.others_before, place), self.others_before.served))
+            drift = part(above(self.others_now, place), self.others_now.served) - part(
+                above(self.others_before, place), self.others_before.served
+            )
             name = f"slower than {BOUNDS[place]:.3f} s"
             made.append((name, above(self.now, place), self.now.served, was, drift))
         for name in ("refused", "failed"):
-            count, parts = getattr(self.now, name), [
-                part(getattr(seen, name), seen.asked)
-                for seen in (self.before, self.others_before, self.others_now)]
+            count, parts = (
+                getattr(self.now, name),
+                [
+                    part(getattr(seen, name), seen.asked)
+                    for seen in (self.before, self.others_before, self.others_now)
+                ],
+            )
             made.append((name, count, self.now.asked, parts[0], parts[2] - parts[1]))
         return made
 
 
-def judged(before: Mapping[str, Seen], now: Mapping[str, Seen], others_before: Mapping[str, Seen],
-           others_now: Mapping[str, Seen]) -> Finding:
+def judged(
+    before: Mapping[str, Seen],
+    now: Mapping[str, Seen],
+    others_before: Mapping[str, Seen],
+    others_now: Mapping[str, Seen],
+) -> Finding:
     """What is to be held of the sites at which the policy is in force."""
     for kind, seen in sorted(now.items()):
         if seen.doubled or seen.missing:
--- a/embersill/edge/links.py
+++ b/embersill/edge/links.py
@@ -106,8 +106,9 @@
 class Links:
     """All links of this process. One to each peer counts: of two, that of the lower name's dialling."""
 
-    def __init__(self, peers: Peers, clock: Callable[[], float], ip: str, port: int,
-                 targets: Callable[[], list[str]]) -> None:
+    def __init__(
+        self, peers: Peers, clock: Callable[[], float], ip: str, port: int, targets: Callable[[], list[str]]
+    ) -> None:
         self.peers, self.clock, self.ip, self.port, self.targets = peers, clock, ip, port, targets
         self.loop = asyncio.get_running_loop()
         self.open: set[Link] = set()
@@ -120,7 +121,8 @@
 
     async def start(self) -> None:
         self.server = await self.loop.create_server(
-            lambda: Link(self, False), self.ip, self.port, backlog=512)
+            lambda: Link(self, False), self.ip, self.port, backlog=512
+        )
 
     def came(self, link: Link) -> None:
         """A peer has said who it is."""
--- a/embersill/edge/logs.py
+++ b/embersill/edge/logs.py
@@ -39,8 +39,12 @@
                 words.append(word)
         if record.exc_info:
             fields["error"] = self.format_error(record)
-        eliot.log_message("_".join(words[:3]) or "event", level=record.levelname.lower(),
-                          **({"text": " ".join(words)} if len(words) > 1 else {}), **fields)
+        eliot.log_message(
+            "_".join(words[:3]) or "event",
+            level=record.levelname.lower(),
+            **({"text": " ".join(words)} if len(words) > 1 else {}),
+            **fields,
+        )
 
     def format_error(self, record: logging.LogRecord) -> str:
         return logging.Formatter().formatException(record.exc_info) if record.exc_info else ""
--- a/embersill/edge/node.py
+++ b/embersill/edge/node.py
@@ -39,13 +39,21 @@
 
 
 class Node:
-    def __init__(self, hello: Hello, seeds: Iterable[str], stored: Stored, chance: random.Random, now: float,
-                 beat_every: float = 1.0) -> None:
+    def __init__(
+        self,
+        hello: Hello,
+        seeds: Iterable[str],
+        stored: Stored,
+        chance: random.Random,
+        now: float,
+        beat_every: float = 1.0,
+    ) -> None:
         self.me, self.now = hello, now
         self.effects = Effects()
         self.roll = Roll(hello, seeds, self.effects, now)
         self.agreement = Agreement(
-            hello.name, hello.store, self.effects, chance, now, life=hello.boot, durable=hello.core)
+            hello.name, hello.store, self.effects, chance, now, life=hello.boot, durable=hello.core
+        )
         self.agreement.on_state, self.agreement.on_roster = self.adopt, self.seated
         self.cell = Cell(hello, self.roll, self.effects, beat_every)
         self.cell.on_news = self.news
@@ -67,10 +75,23 @@
         self.calls = Calls(hello, self.roll, self.agreement, self.cell, self.reports, self.effects)
         self.calls.when_applied = self.when_applied
         self.calls.on_view = lambda text: self.on_view(text)
-        self.squeezer = Squeezer(hello, self.roll, self.agreement, lambda: self.state,
-                                 lambda: self.all_have(stand(self.state)), now)
-        self.roller = Roller(hello, self.roll, self.agreement, self.effects, lambda: self.state,
-                             lambda: self.all_have(stand(self.state)), now)
+        self.squeezer = Squeezer(
+            hello,
+            self.roll,
+            self.agreement,
+            lambda: self.state,
+            lambda: self.all_have(stand(self.state)),
+            now,
+        )
+        self.roller = Roller(
+            hello,
+            self.roll,
+            self.agreement,
+            self.effects,
+            lambda: self.state,
+            lambda: self.all_have(stand(self.state)),
+            now,
+        )
         self.gathers = {"report": self.reports.gather, "watch": self.roller.gather}
         self.duties = self.squeezer.duty, self.roller.duty
         for duty in self.duties:
@@ -252,6 +273,7 @@
 
     def fetched(self, peer: str) -> None:
         """Hands the configuration on, once a majority vouches that it is the one in force."""
+
         def vouched(good: bool) -> None:
             if good and self.state["version"]:
                 handed = {**self.state, "taken": []}  # which orders were taken concerns members alone
@@ -290,5 +312,3 @@
 
     def news(self, news: list[Any]) -> None:
         self.on_instances(news)
-
-
--- a/embersill/edge/policy.py
+++ b/embersill/edge/policy.py
@@ -25,8 +25,12 @@
 
 
 RANGES: dict[str, tuple[float, float]] = {
-    "wait_share": (0.0, 0.5), "far_share": (0.0, 2.0), "most_attempts": (1, 10), "budget_share": (0.0, 1.0),
-    "advice_s": (0.05, 5.0)}
+    "wait_share": (0.0, 0.5),
+    "far_share": (0.0, 2.0),
+    "most_attempts": (1, 10),
+    "budget_share": (0.0, 1.0),
+    "advice_s": (0.05, 5.0),
+}
 AS_BUILT: Policy = {"name": "as built"}
 
 
--- a/embersill/edge/program.py
+++ b/embersill/edge/program.py
@@ -68,9 +68,16 @@
         # where no machine has a disk those that count keep the state in memory, and learn it anew
         core = local["counts_toward_quorum"] and (store is not None or not local.get("data_directory"))
         hello = Hello(
-            name, local["ip_address"], local["zone"], control, core,
-            stored.store, f"{self.chance.getrandbits(48):012x}", first=local["first_start"],
-            seed=local["ip_address"] in seeds)
+            name,
+            local["ip_address"],
+            local["zone"],
+            control,
+            core,
+            stored.store,
+            f"{self.chance.getrandbits(48):012x}",
+            first=local["first_start"],
+            seed=local["ip_address"] in seeds,
+        )
         self.node = Node(hello, seeds, stored, self.chance, now, local.get("heartbeat_interval_s", 1.0))
         self.node.founding.requirements = requirements_of(local)
         self.node.demand.on_holding = self.holding
@@ -113,9 +120,15 @@
 
     def settings(self) -> Settings:
         return settings_for(
-            self.node.table, zone=self.local["zone"], me=self.me, gateways=max(self.node.roll.count, 1),
-            fresh=self.local["first_start"], ratio=bound(self.local, "retry_budget_ratio", 0.1),
-            slack=bound(self.local, "retry_budget_slack", 10.0), policy=self.node.policy[0])
+            self.node.table,
+            zone=self.local["zone"],
+            me=self.me,
+            gateways=max(self.node.roll.count, 1),
+            fresh=self.local["first_start"],
+            ratio=bound(self.local, "retry_budget_ratio", 0.1),
+            slack=bound(self.local, "retry_budget_slack", 10.0),
+            policy=self.node.policy[0],
+        )
 
     def is_ready(self) -> bool:
         return not self.stopping and self.node.table is not None and bool(self.driver.serving)
@@ -123,8 +136,11 @@
     def holding(self) -> dict[str, float]:
         """Slices that were told and still decide, by tenant."""
         now = self.clock()
-        return {name: throttle.rate for name, throttle in self.gateway.throttles.items()
-                if throttle.read_until > now}
+        return {
+            name: throttle.rate
+            for name, throttle in self.gateway.throttles.items()
+            if throttle.read_until > now
+        }
 
     # what the node tells
 
@@ -153,8 +169,7 @@
             started = self.known_start(one.id)
             if started is None and one.cold > 0:
                 started = now + one.cold - WARM_WITHIN
-            backend = Backend(
-                one.id, one.zone, one.id, 0, status, 1.0, started, one.service, one.slots)
+            backend = Backend(one.id, one.zone, one.id, 0, status, 1.0, started, one.service, one.slots)
             entries.append(Entry(backend, read_address(one.address) if one.address else ("", 0)))
         self.driver.list_told(Listing(ListKind.CHANGES, 0, tuple(entries)))
 
@@ -211,8 +226,11 @@
             self.store.start(self.saved)
         await self.links.start()
         listen = self.local["listen_addresses"]
-        for front, text in ((self.front, listen.get("front_http")), (self.ready, listen.get("readiness")),
-                            (self.control, listen.get("control_plane"))):
+        for front, text in (
+            (self.front, listen.get("front_http")),
+            (self.ready, listen.get("readiness")),
+            (self.control, listen.get("control_plane")),
+        ):
             if text:
                 front.listen(read_address(text))
         self.node.begin()
@@ -226,7 +244,8 @@
             return log.warning("settings stay as they were: %s", read.error)
         self.local = {**self.local, "seed_nodes": read.ok["seed_nodes"]}
         self.node.roll.seeds = [
-            ip for ip, _ in map(read_address, read.ok["seed_nodes"]) if ip != self.node.me.ip]
+            ip for ip, _ in map(read_address, read.ok["seed_nodes"]) if ip != self.node.me.ip
+        ]
         return log.info("settings read again")
 
     async def stop(self) -> None:
--- a/embersill/edge/ring.py
+++ b/embersill/edge/ring.py
@@ -11,6 +11,7 @@
 
     Highest random weight (Thaler and Ravishankar 1998): who leaves changes nothing for the others' names.
     """
+
     def weight(member: str) -> tuple[int, str]:
         return zlib.crc32(f"{name}\0{member}".encode()), member
 
--- a/embersill/edge/roller.py
+++ b/embersill/edge/roller.py
@@ -36,8 +36,16 @@
 
 
 class Roller:
-    def __init__(self, me: Hello, roll: Roll, agreement: Agreement, effects: Effects,
-                 state: Callable[[], State], known: Callable[[], bool], now: float) -> None:
+    def __init__(
+        self,
+        me: Hello,
+        roll: Roll,
+        agreement: Agreement,
+        effects: Effects,
+        state: Callable[[], State],
+        known: Callable[[], bool],
+        now: float,
+    ) -> None:
         """`state`: what is in force here. `known`: True once all linked gateways have it."""
         self.me, self.roll, self.state, self.known = me, roll, state, known
         self.duty = Duty(DUTY, me, roll, agreement, lambda: rollouts_of(state())["holder"], held)
@@ -119,8 +127,11 @@
                 sides[3].append(since)
                 continue
             sides[1].append(since)
-            before = [seen[label] for try_ in range(tries, -1, -1)
-                      if (label := stretch(number, try_, at - 1, at)) in seen]
+            before = [
+                seen[label]
+                for try_ in range(tries, -1, -1)
+                if (label := stretch(number, try_, at - 1, at)) in seen
+            ]
             sides[0].extend(before[:1])
         finding = judged(*map(added, sides))
         if finding.grave:
--- a/embersill/edge/rollouts.py
+++ b/embersill/edge/rollouts.py
@@ -64,9 +64,16 @@
         return Error(Refusal(412, "it is in force already"))
     sites = wish.get("sites", {})
     made: Run = {
-        "policy": policy.ok, "by": wish["by"], "steps": steps.ok, "watch_s": watch, "phase": "running",
+        "policy": policy.ok,
+        "by": wish["by"],
+        "steps": steps.ok,
+        "watch_s": watch,
+        "phase": "running",
         "places": {name: [*site.get("zones", []), *site.get("gateways", [])] for name, site in sites.items()},
-        "step": -1, "told": -1, "tries": 0}
+        "step": -1,
+        "told": -1,
+        "tries": 0,
+    }
     return Ok(with_run(state, made, number=rollouts["number"] + 1))
 
 
@@ -94,8 +101,15 @@
 def ended(state: State, run: Run, how: Literal["done", "halted", "aborted"], why: str) -> State:
     """The run is over: its policy is the good one from now on, or it is in force nowhere."""
     rollouts = rollouts_of(state)
-    past: Past = {"number": rollouts["number"], "policy": run["policy"], "by": run["by"], "how": how,
-                  "why": why, "step": run["step"], "steps": len(run["steps"])}
+    past: Past = {
+        "number": rollouts["number"],
+        "policy": run["policy"],
+        "by": run["by"],
+        "how": how,
+        "why": why,
+        "step": run["step"],
+        "steps": len(run["steps"]),
+    }
     good = run["policy"] if how == "done" else rollouts["good"]
     return with_run(state, None, good=good, past=[*rollouts["past"], past][-MOST_PAST:])
 
--- a/embersill/edge/routes.py
+++ b/embersill/edge/routes.py
@@ -86,20 +86,40 @@
     def classes(self, most_attempts: int) -> tuple[RequestClass, ...]:
         return tuple(
             RequestClass(
-                name, Repeats.SAFE if route["kind"] == "idempotent" else Repeats.ONCE, Scope.ALL, 0.0,
-                route["target_latency_s"], route["timeout_s"], LATE_SHARE, 1.0, False,
-                min(route["max_attempts"], most_attempts))
-            for name, route in self.document["routes"].items())
+                name,
+                Repeats.SAFE if route["kind"] == "idempotent" else Repeats.ONCE,
+                Scope.ALL,
+                0.0,
+                route["target_latency_s"],
+                route["timeout_s"],
+                LATE_SHARE,
+                1.0,
+                False,
+                min(route["max_attempts"], most_attempts),
+            )
+            for name, route in self.document["routes"].items()
+        )
 
     def plans(self) -> tuple[Plan, ...]:
         """A plan a tenant: its quota over all gateways together; nought is no limit."""
-        made = [Plan(name, *self.quota(name), 0, 0.0, 0.0, 1.0, 0.0, 0.0)
-                for name in self.document.get("tenants", {})]
+        made = [
+            Plan(name, *self.quota(name), 0, 0.0, 0.0, 1.0, 0.0, 0.0)
+            for name in self.document.get("tenants", {})
+        ]
         return (Plan(PUBLIC, 0.0, 0.0, 0, 0.0, 0.0, 1.0, 0.0, 0.0), *made)
 
 
-def settings_for(table: Table | None, *, zone: str, me: int, gateways: int, fresh: bool, ratio: float,
-                 slack: float, policy: Policy = AS_BUILT) -> Settings:
+def settings_for(
+    table: Table | None,
+    *,
+    zone: str,
+    me: int,
+    gateways: int,
+    fresh: bool,
+    ratio: float,
+    slack: float,
+    policy: Policy = AS_BUILT,
+) -> Settings:
     """What the decisions go by: this table's classes and plans, and the parts of what all gateways share.
 
     `fresh`: the very first start, from which throttles may begin full. `ratio` and `slack`: the budget of
@@ -108,14 +128,34 @@
     """
     budget, attempts = policy.get("budget_share", 1.0), policy.get("most_attempts", MOST_ATTEMPTS)
     return Settings(
-        me=me, gateways=gateways, classes=table.classes(attempts) if table else (),
-        plans=table.plans() if table else (), zone=zone, list_pushed=True, ask_every=1.0, counter=True,
-        counter_patience=READ_AFTER, counter_price=0.0, may_cancel=False, may_probe=False,
-        second_copies=False, max_attempts=1, retry_after=True, cold_from=0.5,
+        me=me,
+        gateways=gateways,
+        classes=table.classes(attempts) if table else (),
+        plans=table.plans() if table else (),
+        zone=zone,
+        list_pushed=True,
+        ask_every=1.0,
+        counter=True,
+        counter_patience=READ_AFTER,
+        counter_price=0.0,
+        may_cancel=False,
+        may_probe=False,
+        second_copies=False,
+        max_attempts=1,
+        retry_after=True,
+        cold_from=0.5,
         max_retry_after=policy.get("advice_s", MOST_ADVICE),
-        warm_within=WARM_WITHIN, fall_multiple=3.0, overload_for=0.0, report_fields=(), most_units=0.0,
-        settles=False, late_at=LATE_AT, retry_store=slack * SLACK_PART * budget / gateways,
-        retry_share=ratio * RATIO_PART * budget, counts_all=True, banks_from=1.0 if fresh else 0.0,
+        warm_within=WARM_WITHIN,
+        fall_multiple=3.0,
+        overload_for=0.0,
+        report_fields=(),
+        most_units=0.0,
+        settles=False,
+        late_at=LATE_AT,
+        retry_store=slack * SLACK_PART * budget / gateways,
+        retry_share=ratio * RATIO_PART * budget,
+        counts_all=True,
+        banks_from=1.0 if fresh else 0.0,
     )
 
 
--- a/embersill/edge/squeezer.py
+++ b/embersill/edge/squeezer.py
@@ -21,8 +21,15 @@
 
 
 class Squeezer:
-    def __init__(self, me: Hello, roll: Roll, agreement: Agreement, state: Callable[[], State],
-                 known: Callable[[], bool], now: float) -> None:
+    def __init__(
+        self,
+        me: Hello,
+        roll: Roll,
+        agreement: Agreement,
+        state: Callable[[], State],
+        known: Callable[[], bool],
+        now: float,
+    ) -> None:
         """`state`: what is in force here. `known`: True once all linked gateways have it."""
         self.state, self.known = state, known
         self.duty = Duty(DUTY, me, roll, agreement, lambda: lapses_of(state())["holder"], held)
--- a/embersill/edge/stages.py
+++ b/embersill/edge/stages.py
@@ -37,8 +37,9 @@
     return ""
 
 
-def steps_of(sites: Mapping[str, Site], last: Collection[str],
-             most_share: float) -> Result[list[list[str]], str]:
+def steps_of(
+    sites: Mapping[str, Site], last: Collection[str], most_share: float
+) -> Result[list[list[str]], str]:
     """The sites by step, or why there is no such order.
 
     Those that serve nothing of `last` go first, the least of them alone; those that do go after all others,
@@ -61,8 +62,11 @@
         return sum(sites[name]["asks"].get(kind, 0.0) / max(whole[kind], 1e-9) for kind in last)
 
     def most_of(names: list[str]) -> tuple[float, str]:
-        parts = [(sum(sites[name]["asks"].get(kind, 0.0) for name in names) / whole[kind], kind)
-                 for kind in sorted(kinds) if whole[kind] > 0]
+        parts = [
+            (sum(sites[name]["asks"].get(kind, 0.0) for name in names) / whole[kind], kind)
+            for kind in sorted(kinds)
+            if whole[kind] > 0
+        ]
         return max(parts, default=(0.0, ""))
 
     def fits(names: list[str]) -> bool:
--- a/embersill/edge/status.py
+++ b/embersill/edge/status.py
@@ -19,12 +19,17 @@
         counts = backends.setdefault(one.service, {})
         counts[state] = counts.get(state, 0) + 1
     return {
-        "node_name": node.me.name, "zone": node.me.zone, "version": write_version(version),
-        "core": node.me.core, "votes": node.agreement.votes,
+        "node_name": node.me.name,
+        "zone": node.me.zone,
+        "version": write_version(version),
+        "core": node.me.core,
+        "votes": node.agreement.votes,
         "epoch": roster.epoch if roster is not None else 0,
         "members": {name: name in node.roll.core for name in sorted(roster.members if roster else ())},
-        "keeper": node.roll.keeper(node.me.zone), "gateways": node.roll.count,
+        "keeper": node.roll.keeper(node.me.zone),
+        "gateways": node.roll.count,
         "linked": sorted(node.roll.linked),
         "behind": sorted(name for name in node.roll.linked if node.newest.get(name, (0, 0))[0] < version),
-        "backends": backends, "summed_here": len(node.demand.sums.accounts),
+        "backends": backends,
+        "summed_here": len(node.demand.sums.accounts),
     }
--- a/embersill/edge/sums.py
+++ b/embersill/edge/sums.py
@@ -81,8 +81,11 @@
     def held(self, account: Account, even: float, silent: Iterable[str], now: float, but: str = "") -> float:
         """What all others may use now: their last slices; silent gateways go on by the even one."""
         away = set(silent) - {but}
-        held = sum(max(rate, even if name in away else 0.0) for name, (rate, _) in account.slices.items()
-                   if name != but and (name in away or account.uses(name, now)))
+        held = sum(
+            max(rate, even if name in away else 0.0)
+            for name, (rate, _) in account.slices.items()
+            if name != but and (name in away or account.uses(name, now))
+        )
         return held + even * len(away - account.slices.keys())
 
     def told(self, tenant: str, gateway: str, now: float) -> bool:
@@ -104,8 +107,16 @@
         others = {name for name in account.slices if account.uses(name, now)}.union(silent)
         return max(gateways - len(others), 0)
 
-    def slice(self, tenant: str, gateway: str, quota: float, gateways: int, silent: list[str],
-              now: float, burst: float = math.inf) -> float:
+    def slice(
+        self,
+        tenant: str,
+        gateway: str,
+        quota: float,
+        gateways: int,
+        silent: list[str],
+        now: float,
+        burst: float = math.inf,
+    ) -> float:
         """The rate that a gateway has from now on; hardly any where its bank could not hold a token."""
         account, even = self.account(tenant, now), quota / max(gateways, 1)
         if account is None or quota <= 0:
@@ -122,8 +133,17 @@
         account.slices[gateway] = rate, now
         return rate
 
-    def lend(self, tenant: str, asked: float, quota: float, burst: float, gateways: int, silent: list[str],
-             now: float, exact: bool = False) -> float:
+    def lend(
+        self,
+        tenant: str,
+        asked: float,
+        quota: float,
+        burst: float,
+        gateways: int,
+        silent: list[str],
+        now: float,
+        exact: bool = False,
+    ) -> float:
         """Whole units of those asked for, from what slices leave and a part of what the bound allows.
 
         `exact`: nothing of what the bound allows above a quota.
--- a/embersill/edge/tally.py
+++ b/embersill/edge/tally.py
@@ -19,8 +19,13 @@
     is the slice which that member gives. What does not come is silence: the module takes the even slice then.
     """
 
-    def __init__(self, node: Node, clock: Callable[[], float], told: Callable[[Lent | Sliced], None],
-                 later: Callable[[float, Callable[[], None]], object]) -> None:
+    def __init__(
+        self,
+        node: Node,
+        clock: Callable[[], float],
+        told: Callable[[Lent | Sliced], None],
+        later: Callable[[float, Callable[[], None]], object],
+    ) -> None:
         """`later`: calls something after so many seconds; one that is called after the end does nothing."""
         self.node, self.clock, self.told, self.later = node, clock, told, later
         self.closed = False
@@ -78,8 +83,12 @@
         if lender == self.node.me.name:
             self.later(0.0, lambda: self.lend_here(asked))
         elif lender in self.node.roll.linked:
-            message = {"kind": "borrow", "units": asked, "at": round(self.clock(), 4),
-                       "life": self.node.me.boot}
+            message = {
+                "kind": "borrow",
+                "units": asked,
+                "at": round(self.clock(), 4),
+                "life": self.node.me.boot,
+            }
             self.node.effects.mail.append((lender, message))
             self.flushed()
         else:
