Bringing the configuration to gateways is a part of its own; doc comments in all of edge

Need: readable code, the control side first. Node held the spread of configurations, and told kinds of messages apart by a chain of conditions. Change: edge/distribution has who has which version, fetching, handing on under the lease, and waiting for gateways; Node has a table of handlers by kind of message. Handover counts a majority as the council does.

--- a/embersill/edge/__main__.py
+++ b/embersill/edge/__main__.py
@@ -14,6 +14,7 @@
 
 
 async def run(environment: dict[str, str]) -> int:
+    """Serves until the process is told to stop; its exit status."""
     ready = prepared(environment)
     if ready.is_error():
         logging.getLogger("embersill.edge").error("can't start: %s", ready.error)
@@ -23,6 +24,7 @@
 
 
 def main(arguments: list[str] | None = None) -> int:
+    """The command line: without a command this is a gateway. Returns the exit status."""
     told = sys.argv[1:] if arguments is None else arguments
     level = "info"
     if told:
--- a/embersill/edge/check.py
+++ b/embersill/edge/check.py
@@ -71,6 +71,7 @@
 
 
 def scalar(value: Any, shape: Any, where: str) -> Any:
+    """A number, text or truth value of the shape that is asked for; Misfit names the place."""
     if shape is float:
         if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
             raise Misfit(f"{where}: not a number")
--- a/embersill/edge/command.py
+++ b/embersill/edge/command.py
@@ -196,11 +196,13 @@
 
 
 def add_wish(one: argparse.ArgumentParser, of: str) -> None:
+    """The options that every order of an operator has."""
     one.add_argument("--by", required=True, help="who orders it")
     one.add_argument("--number", type=int, help=f"of the {of} that this builds on")
 
 
 def add_rollout(commands: Any) -> None:
+    """The commands about staged policies."""
     made = commands.add_parser("rollout", help="carry a policy down the sites step by step")
     rollouts = made.add_subparsers(dest="what", required=True)
     for name, text in (
@@ -233,6 +235,7 @@
 
 
 def parser() -> argparse.ArgumentParser:
+    """The whole command line."""
     made = argparse.ArgumentParser(prog="embersill.edge", description="The whole gateway, and its tools.")
     levels = ("debug", "info", "warning")
     made.add_argument("--log", choices=levels, default="info", help="the least level that is written")
@@ -290,6 +293,7 @@
 
 
 def carry_out(chosen: argparse.Namespace) -> int:
+    """Does what was chosen and prints what it found; the exit status."""
     found: Found = chosen.does(chosen)
     if found.is_error():
         print(f"embersill.edge: {found.error}", file=sys.stderr)
--- a/embersill/edge/deciding.py
+++ b/embersill/edge/deciding.py
@@ -55,10 +55,12 @@
     here: list[Server] = []  # of those that serve, the ones in this gateway's zone
 
     def set_order(self, servers: Iterable[Server]) -> None:
+        """Takes the order in which backends are looked at, and notes those of this zone."""
         super().set_order(servers)
         self.here = [s for s in self.order if s.backend.zone == self.turn.settings.zone]
 
     def new_server(self, backend: Backend) -> Server:
+        """A backend with the number of requests that may be out there at first: its part of all gateways."""
         start = (backend.slots + DRAWN) / self.turn.settings.gateways**0.5
         return Server(backend, max(LEAST_OUT, start), self.turn.now)
 
@@ -111,11 +113,13 @@
     far = FAR
 
     def new_fleet(self) -> Fleet:
+        """The backends of one service, chosen among by the load that they tell."""
         made = LoadedFleet(self.turn, self.may_send)
         made.far = self.far
         return made
 
     def set_far(self, far: float) -> None:
+        """Takes the time by which a backend of another zone has to be sooner, as a share of the aim."""
         self.far = far
         for fleet in self.fleets.values():
             if isinstance(fleet, LoadedFleet):
@@ -131,10 +135,12 @@
     observed: Watch | None = None  # while a policy is on its way
 
     def count_out(self, job: Job, attempt: Attempt) -> None:
+        """An attempt is out; others are told how many are."""
         super().count_out(job, attempt)
         self.on_flight(attempt.server)
 
     def attempt_ended(self, event: AttemptEnded) -> None:
+        """An attempt has ended; others are told, and a staged policy is judged by how."""
         job = self.jobs.get(event.request)
         super().attempt_ended(event)
         if job is not None and 0 <= event.attempt < len(job.attempts):
@@ -143,17 +149,20 @@
                 self.note_end(self.observed, job, event.outcome)
 
     def note_end(self, watch: Watch, job: Job, outcome: Outcome) -> None:
+        """Counts how a request ended, for whoever judges a staged policy."""
         if outcome is Outcome.SERVED:
             watch.served(job.request.id, job.klass.name, self.turn.now - job.arrived)
         else:
             watch.failed(job.request.id, job.klass.name)
 
     def client_left(self, event: ClientLeft) -> None:
+        """The client of a request has gone."""
         if self.observed is not None:
             self.observed.left(event.request)
         super().client_left(event)
 
     def place(self, job: Job) -> None:
+        """Sends a request that may go on to a backend."""
         if self.figures is not None and not job.attempts:
             self.figures.let(job.throttle.customer, self.turn.now - job.arrived)
         if self.observed is not None and not job.attempts:
@@ -161,6 +170,7 @@
         super().place(job)
 
     def send(self, job: Job, server: Server) -> None:
+        """Sends an attempt, unless others of its backend go first; counts what is sent twice."""
         if self.squeezed and self.behind(job, server):
             return self.give_up(job)
         if self.observed is None or job.risky is None or job.klass.repeats is not Repeats.ONCE:
@@ -241,9 +251,11 @@
         return throttle
 
     def may_borrow(self, throttle: Throttle) -> bool:
+        """True if a tenant's throttle may ask for more than its slice now."""
         return throttle.plan.rate > 0 and not throttle.asking and self.turn.now >= throttle.dry_until
 
     def borrow(self, throttle: Throttle) -> None:
+        """Asks for the tokens that the throttle lacks."""
         throttle.asking = True
         self.turn.actions.append(Borrow(throttle.customer, max(math.ceil(-throttle.level), 1.0)))
 
@@ -325,6 +337,7 @@
         return watch.stretches
 
     def parts(self) -> tuple[Backends, Attempts, Admission]:
+        """The parts of the decisions, with those of this gateway in place of the usual ones."""
         backends = EdgeBackends(self.turn)
         attempts = EdgeAttempts(self.turn, self.totals, backends)
         return backends, attempts, EdgeAdmission(self.turn, self.totals, attempts)
--- a/embersill/edge/demand.py
+++ b/embersill/edge/demand.py
@@ -60,6 +60,7 @@
                 self.effects.mail.append((gateway, mail))
 
     def heard(self, peer: str, message: Message, now: float) -> None:
+        """A message about quotas of another gateway's; KeyError, TypeError, ValueError for none."""
         kind, mail = message["kind"], self.effects.mail
         if kind == "use":
             self.sums.tell(peer, amounts(message["use"]), now)
--- a/embersill/edge/dialect.py
+++ b/embersill/edge/dialect.py
@@ -26,11 +26,14 @@
 
 
 class EdgeDialect:
+    """What backends of this system add to HTTP/1.1: who is asked, who answers, how long, with which load."""
+
     def __init__(self, misdirected: Callable[[str], None] = lambda backend: None) -> None:
         """`misdirected`: hears of a backend at whose address there is another one."""
         self.misdirected = misdirected
 
     def head(self, attempt: Attempt, wait: float) -> bytes:
+        """The head of an attempt as it is sent now; `wait`: seconds that are left for it."""
         return b"%bX-Deadline-Remaining-Ms: %d\r\nX-Expected-Instance: %b\r\n\r\n" % (
             attempt.head,
             max(int(wait * 1000), 1),
@@ -38,6 +41,7 @@
         )
 
     def header(self, connection: BackendConnection, name: bytes, value: bytes) -> None:
+        """Notes one header of a backend's answer."""
         if name == b"x-request-not-executed":
             connection.rejected = True
         elif name == b"x-backend-load":
@@ -52,9 +56,11 @@
             connection.headers += b"%b: %b\r\n" % (name, value)
 
     def belongs(self, connection: BackendConnection, attempt: Attempt) -> bool:
+        """True if an answer whose head has been read is the attempt's own."""
         return connection.answers_to == attempt.id and bool(connection.units)
 
     def judge(self, connection: BackendConnection, attempt: Attempt, body: bytes) -> Answer:
+        """What a whole answer means for the attempt that it came for."""
         status, load = connection.status, connection.load
         if connection.answers_to != attempt.id and (connection.answers_to or status < 300):
             return Answer(Outcome.BROKEN)  # another request's
--- a/embersill/edge/document.py
+++ b/embersill/edge/document.py
@@ -20,11 +20,15 @@
 
 
 class Share(TypedDict):
+    """One service of a split route."""
+
     service: str
     weight: float
 
 
 class Route(TypedDict):
+    """Requests of one host and path: where they go, and how."""
+
     host: str
     path_prefix: str
     kind: Literal["idempotent", "non_idempotent"]
@@ -38,6 +42,8 @@
 
 
 class Service(TypedDict):
+    """How the backends of one service are spoken to."""
+
     health_path: NotRequired[str]
     connection_limit: NotRequired[int]
     protocol: NotRequired[str]
@@ -45,6 +51,8 @@
 
 
 class Tenant(TypedDict):
+    """Whose requests these are: keys, and how many may come."""
+
     api_keys: list[str]
     priority: NotRequired[int]
     rate_per_s: NotRequired[float]
@@ -52,6 +60,8 @@
 
 
 class ClientLimits(TypedDict):
+    """Bounds on what clients may send, in bytes and seconds."""
+
     max_header_bytes: NotRequired[int]
     max_body_bytes: NotRequired[int]
     header_timeout_s: NotRequired[float]
@@ -59,6 +69,8 @@
 
 
 class Document(TypedDict):
+    """A whole configuration, as operators send and read it."""
+
     version: str
     routes: dict[str, Route]
     services: dict[str, Service]
@@ -68,6 +80,8 @@
 
 
 class Upserts(TypedDict):
+    """What a change adds or replaces, by name."""
+
     routes: NotRequired[dict[str, Any]]
     services: NotRequired[dict[str, Any]]
     tenants: NotRequired[dict[str, Any]]
@@ -75,12 +89,16 @@
 
 
 class Removals(TypedDict):
+    """What a change removes, by name."""
+
     routes: NotRequired[list[str]]
     services: NotRequired[list[str]]
     tenants: NotRequired[list[str]]
 
 
 class Patch(TypedDict):
+    """A change of named items."""
+
     version: str
     based_on_version: NotRequired[str]
     upsert_items: NotRequired[Upserts]
@@ -106,6 +124,8 @@
 
 
 class Lapses(TypedDict):
+    """The orders about lapsed tenants, and who carries them out."""
+
     number: int  # grows with each change
     holder: str  # of the duty of taking the steps
     orders: dict[str, Order]
@@ -138,6 +158,8 @@
 
 
 class Rollouts(TypedDict):
+    """The policy in force, and the one that is being carried down the sites."""
+
     number: int  # grows with each run
     holder: str  # of the duty of taking the steps
     good: Policy  # in force where no run has another
@@ -176,6 +198,7 @@
 
 
 def write_version(version: int) -> str:
+    """A version as bodies have it: eight hexadecimal digits."""
     return f"{version:08x}"
 
 
--- a/embersill/edge/doors.py
+++ b/embersill/edge/doors.py
@@ -86,6 +86,7 @@
         return left < REPEAT_BELOW * longest
 
     def take(self, connection: ClientConnection, exchange: Exchange, method: bytes) -> None:
+        """Takes a client's request whose head is read; BadRequest for one that is turned away."""
         if self.table is not None:
             return self.place(self.table, connection, exchange, method)
         # a gateway that has just started: where clients come again only once, a 503 would lose them
@@ -123,6 +124,7 @@
     def place(
         self, table: Table, arrived: Arrived | ClientConnection, exchange: Exchange, method: bytes
     ) -> None:
+        """Finds where a request goes and whose it is, and hands it to the decisions."""
         driver, headers = self.driver(), arrived.headers
         path = arrived.target.partition(b"?")[0].decode("latin-1")
         way = table.find(headers.get(b"host", b"").decode("latin-1"), path)
@@ -203,6 +205,7 @@
         self.is_ready = is_ready
 
     def take(self, connection: ClientConnection, exchange: Exchange, method: bytes) -> None:
+        """Answers the platform's question."""
         if connection.target.partition(b"?")[0] != b"/api/readiness":
             raise BadRequest(404, "no such path")
         if method not in (b"GET", b"HEAD"):
@@ -228,6 +231,7 @@
         self.call = call
 
     def take(self, connection: ClientConnection, exchange: Exchange, method: bytes) -> None:
+        """Takes a call of a backend or an operator; BadRequest for one that there is none like."""
         path = connection.target.partition(b"?")[0].decode("latin-1")
         known, name = operations(), ""
         operation = known.get((method, path))
--- a/embersill/edge/figures.py
+++ b/embersill/edge/figures.py
@@ -26,6 +26,7 @@
     waits: list[int] = msgspec.field(default_factory=lambda: [0] * (len(BOUNDS) + 1))
 
     def add(self, other: Counts) -> None:
+        """Adds another gateway's counts."""
         self.let += other.let
         self.refused += other.refused
         self.waits = [one + more for one, more in zip(self.waits, other.waits, strict=True)]
@@ -40,6 +41,7 @@
         return None
 
     def told(self) -> dict[str, object]:
+        """The counts as reports show them."""
         return {
             "asked": self.let + self.refused,
             "served": self.let,
@@ -54,6 +56,7 @@
 
 
 def label(order: Order) -> str:
+    """Under which stretch of an order requests are counted."""
     if order["phase"] == "restored":
         return "restored"
     return f"step {order['step']}" if order["step"] >= 0 else "waiting"
@@ -78,6 +81,7 @@
             self.now[name] = labelled.setdefault(label(order), (Counts(), Counts()))
 
     def let(self, tenant: str, wait: float) -> None:
+        """A request of a tenant went on after so many seconds."""
         place = bisect_left(BOUNDS, round(wait, 9))
         for name, (own, others) in self.now.items():
             counts = own if name == tenant else others
@@ -85,10 +89,12 @@
             counts.waits[place] += 1
 
     def turned_away(self, tenant: str) -> None:
+        """A request of a tenant was refused."""
         for name, (own, others) in self.now.items():
             (own if name == tenant else others).refused += 1
 
     def of(self, tenant: str) -> Labelled:
+        """What was counted under a tenant's order, by stretch."""
         return self.orders.get(tenant, {})
 
 
--- a/embersill/edge/flights.py
+++ b/embersill/edge/flights.py
@@ -25,15 +25,18 @@
         node.loads.on_due = lambda delay: later(delay, self.due)
 
     def changed(self, server: Server) -> None:
+        """The number of requests out at a backend has changed."""
         if not self.moved:
             self.later(SHARED_AFTER, self.share)
         self.moved[server.backend.address] = server
 
     def share(self) -> None:
+        """Tells the changes that were gathered."""
         moved, self.moved = self.moved, {}
         self.node.loads.share({name: (s.backend.zone, s.flight) for name, s in moved.items()})
         self.flushed()
 
     def due(self) -> None:
+        """Passes on what was gathered for gateways of this zone."""
         self.node.loads.flush()
         self.flushed()
--- a/embersill/edge/handover.py
+++ b/embersill/edge/handover.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from embersill.council.terms import majority
 from embersill.edge.records import Effects, Roster
 
 
@@ -35,4 +36,4 @@
         if self.roster is None or self.me in self.roster.members or self.me not in self.previous:
             return True
         there = sum(self.seated.get(name, 0) >= self.roster.epoch for name in self.roster.members)
-        return 2 * there > len(self.roster.members)
+        return there >= majority(len(self.roster.members))
--- a/embersill/edge/judging.py
+++ b/embersill/edge/judging.py
@@ -43,6 +43,7 @@
 
 
 def part(count: int, of: int) -> float:
+    """A share; nought of nothing."""
     return count / of if of else 0.0
 
 
--- a/embersill/edge/lapses.py
+++ b/embersill/edge/lapses.py
@@ -32,6 +32,7 @@
 
 
 def lapses_of(state: State) -> Lapses:
+    """The orders about lapsed tenants of a state; none where it has none."""
     return state.get("lapses") or NO_LAPSES
 
 
--- a/embersill/edge/links.py
+++ b/embersill/edge/links.py
@@ -29,13 +29,17 @@
 class Peers(Protocol):
     """What hears of links and messages."""
 
-    def hello(self) -> Hello: ...
+    def hello(self) -> Hello:
+        """How this gateway presents itself now."""
 
-    def linked(self, hello: Hello, now: float) -> None: ...
+    def linked(self, hello: Hello, now: float) -> None:
+        """A link to a peer is up."""
 
-    def unlinked(self, name: str, now: float) -> None: ...
+    def unlinked(self, name: str, now: float) -> None:
+        """The link to a peer is gone."""
 
-    def heard(self, peer: str, message: Message, now: float) -> None: ...
+    def heard(self, peer: str, message: Message, now: float) -> None:
+        """A message of a linked peer's; KeyError, TypeError, ValueError for one that is none."""
 
 
 class Link(asyncio.Protocol):
@@ -50,14 +54,17 @@
         self.heard_at = self.sent_at = links.clock()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Presents this gateway."""
         self.transport = cast(asyncio.Transport, transport)
         self.links.open.add(self)
         self.send(msgspec.to_builtins(self.links.peers.hello()))
 
     def send(self, message: Message) -> None:
+        """Sends one message."""
         self.write(_encode(message) + b"\n")
 
     def write(self, line: bytes) -> None:
+        """Sends one line; drops a peer that does not read."""
         if self.transport is None:
             return
         if self.transport.get_write_buffer_size() > MOST_UNSENT:
@@ -66,6 +73,7 @@
         self.transport.write(line)
 
     def data_received(self, data: bytes) -> None:
+        """Takes the lines that are whole."""
         self.heard_at = self.links.clock()
         self.size += len(data)
         if self.size > MOST_LINE:
@@ -82,6 +90,7 @@
         self.links.flush()
 
     def line_came(self, line: bytes) -> None:
+        """The first line presents the peer, the others are its messages."""
         try:
             message = _decode(line)
             if self.hello is None:
@@ -93,12 +102,14 @@
             self.drop(f"a message that is none: {type(error).__name__}: {error}")
 
     def drop(self, why: str) -> None:
+        """Ends this connection; `why` goes to the log."""
         if self.transport is not None:
             if why:
                 log.info("link peer=%s %s", self.hello.name if self.hello else "?", why)
             self.transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """The connection is over."""
         self.transport = None
         self.links.gone(self)
 
@@ -120,6 +131,7 @@
         self.closed = False
 
     async def start(self) -> None:
+        """Listens for peers."""
         self.server = await self.loop.create_server(
             lambda: Link(self, False), self.ip, self.port, backlog=512
         )
@@ -144,6 +156,7 @@
         self.flush()
 
     def gone(self, link: Link) -> None:
+        """A connection is over, and with it the link if it was the one that counts."""
         self.open.discard(link)
         if link.hello is not None and self.up.get(link.hello.name) is link:
             del self.up[link.hello.name]
@@ -177,6 +190,7 @@
                 self.dialling[ip] = self.loop.create_task(self.dial(ip))
 
     async def dial(self, ip: str) -> None:
+        """Tries to connect to a peer."""
         try:
             async with asyncio.timeout(DIAL_WITHIN):
                 _, link = await self.loop.create_connection(lambda: Link(self, True), ip, self.port)
@@ -190,6 +204,7 @@
             self.dialling.pop(ip, None)
 
     def close(self) -> None:
+        """Ends all links."""
         self.closed = True
         if self.server is not None:
             self.server.close()
--- a/embersill/edge/loads.py
+++ b/embersill/edge/loads.py
@@ -19,6 +19,8 @@
 
 
 class Loads:
+    """How many requests all gateways have out at each backend, gathered by the keeper of its zone."""
+
     def __init__(self, me: Hello, roll: Roll, effects: Effects) -> None:
         self.me, self.roll, self.effects = me, roll, effects
         self.out: dict[str, dict[str, int]] = {}  # as keeper: by gateway, what it has out at each backend
@@ -64,12 +66,14 @@
             self.on_others({b: -1 for b in self.zones})
 
     def forget(self, backend: str) -> None:
+        """A backend is gone."""
         self.mine.pop(backend, None)
         self.zones.pop(backend, None)
 
     # as a keeper
 
     def told(self, gateway: str, out: Mapping[str, int]) -> None:
+        """A gateway has told how many it has out, by backend."""
         known = self.out.setdefault(gateway, {})
         changes = {}
         for backend, count in out.items():
@@ -81,6 +85,7 @@
         self.add(changes)
 
     def add(self, changes: Mapping[str, int]) -> None:
+        """Changes sums, which are told soon."""
         for backend, change in changes.items():
             if change:
                 self.sums[backend] = self.sums.get(backend, 0) + change
--- a/embersill/edge/local.py
+++ b/embersill/edge/local.py
@@ -16,12 +16,16 @@
 
 
 class Listen(TypedDict):
+    """Addresses to listen at, as host:port."""
+
     front_http: NotRequired[str]
     readiness: NotRequired[str]
     control_plane: NotRequired[str]
 
 
 class Limits(TypedDict):
+    """What the machine gives this process."""
+
     memory_mb: float
     file_descriptors: float
     cpu_fraction: NotRequired[float]
@@ -29,6 +33,8 @@
 
 
 class Tolerance(TypedDict):
+    """What may be lost at once."""
+
     machine_failures: int
     zones: NotRequired[int]
     regions: NotRequired[int]
--- a/embersill/edge/logs.py
+++ b/embersill/edge/logs.py
@@ -22,6 +22,7 @@
 
 
 def write(message: dict[str, Any]) -> None:
+    """Writes one event to standard error."""
     print(line(message), file=sys.stderr, flush=True)
 
 
@@ -29,6 +30,7 @@
     """Leads what modules log into eliot: `name=value` words become fields."""
 
     def emit(self, record: logging.LogRecord) -> None:
+        """Writes what a module has logged."""
         fields: dict[str, Any] = {}
         words = []
         for word in record.getMessage().split(" "):
@@ -47,6 +49,7 @@
         )
 
     def format_error(self, record: logging.LogRecord) -> str:
+        """The traceback of a logged error; empty if it has none."""
         return logging.Formatter().formatException(record.exc_info) if record.exc_info else ""
 
 
--- a/embersill/edge/node.py
+++ b/embersill/edge/node.py
@@ -18,6 +18,7 @@
 from embersill.edge.calls import Answered, Calls
 from embersill.edge.cell import Cell
 from embersill.edge.demand import DEMAND, Demand
+from embersill.edge.distribution import Distribution
 from embersill.edge.document import EMPTY, State, read_document, stand
 from embersill.edge.figures import Figures
 from embersill.edge.founding import Founding
@@ -33,12 +34,19 @@
 from embersill.edge.status import status_of
 from embersill.edge.verdict import done
 
-FETCH_AGAIN = 0.4  # seconds after which a document that did not come is asked for elsewhere
-ACKED_WITHIN = 0.5  # seconds that an operator's change waits for the gateways' word
 ANSWERS = frozenset(("told", "result", "known", "reported", "watched", "lent"))  # to this life's questions
 
+Handler = Callable[[str, Message], None]  # hears the peer's name and what it says
+
+
+def counts(told: dict[str, Any]) -> dict[str, int]:
+    """Numbers by name, as a message has them."""
+    return {str(name): int(number) for name, number in told.items()}
+
 
 class Node:
+    """All parts of one gateway that decide about the system; see the module."""
+
     def __init__(
         self,
         hello: Hello,
@@ -61,38 +69,23 @@
         self.cell.departures.confirm = self.agreement.confirm
         self.loads = Loads(hello, self.roll, self.effects)
         self.founding = Founding(hello, self.roll, self.agreement, now)
-        self.founding.up_to_date = lambda name: self.newest.get(name, (0, 0)) >= stand(self.state)
+        self.distribution = Distribution(
+            self.roll, self.agreement, self.effects, lambda: self.state, lambda: self.now
+        )
+        self.founding.up_to_date = lambda name: self.distribution.has(name, stand(self.state))
         self.demand = Demand(hello, self.roll, self.agreement, self.effects, now)
         self.state: State = EMPTY
         self.table: Table | None = None
-        self.newest: dict[str, tuple[int, int]] = {}  # how new what peers have is, as they told
-        self.fetched_at, self.fetched_from = float("-inf"), ""
-        # changes, until gateways have them
-        self.waiting: list[tuple[float, tuple[int, int], Callable[[], None]]] = []
         self.on_table: Callable[[Table], None] = lambda table: None
         self.on_view: Callable[[str], None] = lambda text: None  # hears what has changed, a line each
         self.reports = Reports(hello, self.roll, self.effects)
         self.calls = Calls(hello, self.roll, self.agreement, self.cell, self.reports, self.effects)
-        self.calls.when_applied = self.when_applied
+        self.calls.when_applied = self.distribution.when_applied
         self.calls.on_view = lambda text: self.on_view(text)
-        self.squeezer = Squeezer(
-            hello,
-            self.roll,
-            self.agreement,
-            lambda: self.state,
-            lambda: self.all_have(stand(self.state)),
-            now,
-        )
-        self.roller = Roller(
-            hello,
-            self.roll,
-            self.agreement,
-            self.effects,
-            lambda: self.state,
-            lambda: self.all_have(stand(self.state)),
-            now,
-        )
-        self.gathers = {"report": self.reports.gather, "watch": self.roller.gather}
+        state, up_to_date = lambda: self.state, self.distribution.all_up_to_date
+        self.squeezer = Squeezer(hello, self.roll, self.agreement, state, up_to_date, now)
+        self.roller = Roller(hello, self.roll, self.agreement, self.effects, state, up_to_date, now)
+        self.handlers = self.handlers_by_kind()
         self.duties = self.squeezer.duty, self.roller.duty
         for duty in self.duties:
             duty.on_view = lambda text: self.on_view(text)
@@ -130,6 +123,7 @@
     # links
 
     def hello(self) -> Hello:
+        """How this gateway presents itself to a peer."""
         epoch = self.agreement.roster.epoch if self.agreement.roster is not None else 0
         version, orders = stand(self.state)
         return msgspec.structs.replace(self.me, epoch=epoch, version=version, orders=orders)
@@ -138,13 +132,11 @@
         """A peer has presented itself. Each tells the other what it may lack."""
         self.now = max(self.now, now)
         self.roll.link(hello, self.now)
-        self.newest[hello.name] = hello.version, hello.orders
         mail = self.effects.mail
         roster = self.agreement.roster
         if roster is not None and roster.epoch > hello.epoch:
             mail.append((hello.name, self.agreement.told_roster(hello.name)))
-        if stand(self.state) > self.newest[hello.name]:
-            mail.append((hello.name, self.version_told()))
+        self.distribution.linked(hello)
         self.agreement.met(hello.name)
         self.cell.linked(hello.name)
         self.loads.linked(hello.name)
@@ -152,12 +144,13 @@
         if self.roll.told >= 0:
             mail.append((hello.name, {"kind": "present", "count": self.roll.told}))
         self.demand.linked(hello)
-        self.catch_up()
+        self.distribution.catch_up()
 
     def unlinked(self, name: str, now: float) -> None:
+        """The link to a peer is gone."""
         self.now = max(self.now, now)
         self.roll.unlink(name, self.now)
-        self.newest.pop(name, None)
+        self.distribution.unlinked(name)
         self.cell.unlinked(name)
         self.loads.unlinked(name)
         self.on_view(f"link peer={name} down")
@@ -169,40 +162,39 @@
         kind = message["kind"]
         if kind in ANSWERS and message["life"] != self.me.boot:
             return  # an earlier life of this process had asked, under a number that may stand for another now
-        if kind == "seated":
-            self.agreement.handover.told(peer, int(message["epoch"]))
-        elif kind in ("ask", "told"):
-            self.agreement.heard(peer, message)
-        elif kind == "roster":
-            self.agreement.begin(msgspec.convert(message["roster"], Roster), message["base"])
-        elif kind == "version":
-            self.newest[peer] = int(message["version"]), int(message["orders"])
-            self.check_applied()
-            self.catch_up()
-        elif kind == "leaving":
-            self.roll.leaves(peer)
-        elif kind == "fetch":
-            self.fetched(peer)
-        elif kind == "document":
-            self.adopt(msgspec.convert(message["state"], State))
-        elif kind in ("news", "known"):
-            self.cell.heard(peer, message, self.now)
-        elif kind == "present":
-            self.roll.heard(peer, message)
-        elif kind == "out":
-            self.loads.told(peer, {str(k): int(v) for k, v in message["out"].items()})
-        elif kind == "loads":
-            self.loads.heard({str(k): int(v) for k, v in message["out"].items()})
-        elif kind.removesuffix("ed") in self.gathers:
-            self.gathers[kind.removesuffix("ed")].heard(peer, message)
-        elif kind in DEMAND:
-            self.demand.heard(peer, message, self.now)
-        elif kind == "call":
-            self.calls.called(peer, message, self.now)
-        elif kind == "result":
-            self.calls.result(message, self.now)
+        handle = self.handlers.get(kind)
+        if handle is not None:
+            handle(peer, message)
+
+    def handlers_by_kind(self) -> dict[str, Handler]:
+        """What becomes of each kind of message; others come from gateways of another version, and go by."""
+        return {
+            "ask": self.agreement.heard,
+            "told": self.agreement.heard,
+            "seated": lambda peer, told: self.agreement.handover.told(peer, int(told["epoch"])),
+            "roster": lambda peer, told: self.agreement.begin(
+                msgspec.convert(told["roster"], Roster), told["base"]
+            ),
+            "version": self.distribution.heard,
+            "fetch": lambda peer, told: self.distribution.hand_on(peer),
+            "document": lambda peer, told: self.adopt(msgspec.convert(told["state"], State)),
+            "present": self.roll.heard,
+            "leaving": lambda peer, told: self.roll.leaves(peer),
+            "news": lambda peer, told: self.cell.heard(peer, told, self.now),
+            "known": lambda peer, told: self.cell.heard(peer, told, self.now),
+            "out": lambda peer, told: self.loads.told(peer, counts(told["out"])),
+            "loads": lambda peer, told: self.loads.heard(counts(told["out"])),
+            "report": self.reports.gather.heard,
+            "reported": self.reports.gather.heard,
+            "watch": self.roller.gather.heard,
+            "watched": self.roller.gather.heard,
+            "call": lambda peer, told: self.calls.called(peer, told, self.now),
+            "result": lambda peer, told: self.calls.result(told, self.now),
+            **{kind: lambda peer, told: self.demand.heard(peer, told, self.now) for kind in DEMAND},
+        }
 
     def tick(self, now: float) -> None:
+        """What is due by now in every part."""
         self.now = max(self.now, now)
         self.agreement.tick(self.now)
         self.roll.tick(self.now)
@@ -212,10 +204,9 @@
         self.squeezer.tick(self.now)
         self.reports.gather.tick(self.now)
         self.roller.tick(self.now)
-        self.catch_up()
         self.view()
         self.calls.tick(self.now)
-        self.check_applied()
+        self.distribution.tick()
 
     # the configuration
 
@@ -227,6 +218,7 @@
             self.on_view(f"view keeper={viewed[0] or 'none'} gateways={viewed[1]}")
 
     def seated(self, roster: Roster) -> None:
+        """Other members have taken over the configuration."""
         self.roll.roster = roster
         self.on_view(f"members epoch={roster.epoch} names={','.join(sorted(roster.members))}")
         for name in self.roll.linked:
@@ -249,56 +241,13 @@
         if policy != self.policy:
             self.policy = policy
             self.on_policy(*policy)
-        for name in self.roll.linked:
-            self.effects.mail.append((name, self.version_told()))
+        self.distribution.tell_all()
 
     @property
     def figures(self) -> Figures | None:
         """Where requests are counted; None while there are no orders about lapsed tenants."""
         return self.reports.figures if self.reports.figures.now else None
 
-    def version_told(self) -> Message:
-        version, orders = stand(self.state)
-        return {"kind": "version", "version": version, "orders": orders}
-
-    def catch_up(self) -> None:
-        """Asks a peer that has a newer version, one after the other."""
-        version, members = stand(self.state), self.roll.core
-        ahead = [name for name in members if self.newest.get(name, version) > version]
-        if not ahead or (self.now - self.fetched_at < FETCH_AGAIN and self.fetched_from in ahead):
-            return
-        ahead.sort(key=lambda name: (name == self.fetched_from, self.roll.distance(name)))
-        self.fetched_at, self.fetched_from = self.now, ahead[0]
-        self.effects.mail.append((ahead[0], {"kind": "fetch"}))
-
-    def fetched(self, peer: str) -> None:
-        """Hands the configuration on, once a majority vouches that it is the one in force."""
-
-        def vouched(good: bool) -> None:
-            if good and self.state["version"]:
-                handed = {**self.state, "taken": []}  # which orders were taken concerns members alone
-                self.effects.mail.append((peer, {"kind": "document", "state": handed}))
-
-        if self.agreement.speaks():
-            vouched(True)
-        else:
-            self.agreement.confirm(vouched)
-
-    def all_have(self, version: tuple[int, int]) -> bool:
-        return all(self.newest.get(name, (0, 0)) >= version for name in self.roll.linked)
-
-    def when_applied(self, version: tuple[int, int], go_on: Callable[[], None]) -> None:
-        """Calls it once all linked gateways have the version, or have had their time."""
-        self.waiting.append((self.now + ACKED_WITHIN, version, go_on))
-        self.check_applied()
-
-    def check_applied(self) -> None:
-        for entry in list(self.waiting):
-            until, version, go_on = entry
-            if self.now >= until or self.all_have(version):
-                self.waiting.remove(entry)
-                go_on()
-
     # calls of operators and backends
 
     def call(self, what: str, body: Any, answered: Answered, now: float) -> None:
@@ -311,4 +260,5 @@
     # news
 
     def news(self, news: list[Any]) -> None:
+        """Backends have changed."""
         self.on_instances(news)
--- a/embersill/edge/policy.py
+++ b/embersill/edge/policy.py
@@ -16,6 +16,8 @@
 
 
 class Policy(TypedDict):
+    """Settings of the decisions that are carried down the sites in steps."""
+
     name: str
     wait_share: NotRequired[float]  # of its aim, that a request may wait for a token
     far_share: NotRequired[float]  # of the aim that a backend of another zone has to be sooner by
--- a/embersill/edge/program.py
+++ b/embersill/edge/program.py
@@ -114,11 +114,13 @@
         self.stopping = False
 
     def door(self, most: int, desk: Any, room: int) -> Front:
+        """A listener with bounds on its connections and on bytes under way."""
         front = Front(self.driver, self.settings(), self.clock, most, self.is_ready, desk)
         front.room_in_all = front.room = room
         return front
 
     def settings(self) -> Settings:
+        """The settings of the decisions, by the configuration, the policy and the number of gateways."""
         return settings_for(
             self.node.table,
             zone=self.local["zone"],
@@ -131,6 +133,7 @@
         )
 
     def is_ready(self) -> bool:
+        """True if new clients may be sent here."""
         return not self.stopping and self.node.table is not None and bool(self.driver.serving)
 
     def holding(self) -> dict[str, float]:
@@ -145,6 +148,7 @@
     # what the node tells
 
     def table_came(self, table: Table) -> None:
+        """Another configuration is in force."""
         limits = table.document.get("limits", {})
         self.front.read_within = max(limits.get("header_timeout_s", 3.0), 1.0)
         self.front.idle_limit = limits.get("idle_timeout_s", 15.0) + 0.5
@@ -154,11 +158,13 @@
         log.info("configuration version=%d routes=%d", table.version, len(table.document["routes"]))
 
     def policy_came(self, policy: Policy, label: str) -> None:
+        """Another policy is in force."""
         self.gateway.follow(policy, label)
         self.driver.post(Configured(self.settings()))
         log.info("policy name=%s stretch=%s", policy["name"].replace(" ", "_"), label or "none")
 
     def instances_came(self, news: list[Instance]) -> None:
+        """Backends have changed."""
         now = self.clock()
         entries = []
         for one in news:
@@ -174,6 +180,7 @@
         self.driver.list_told(Listing(ListKind.CHANGES, 0, tuple(entries)))
 
     def known_start(self, name: str) -> float | None:
+        """When a backend that is known has started; None for another."""
         server = self.gateway.servers.get(name)
         return server.backend.started if server is not None else None
 
@@ -185,6 +192,7 @@
             cell.tell(cell.instances.merge([msgspec.structs.replace(one, lost=True)], self.clock()))
 
     def control_called(self, what: str, body: Any, answered: Any) -> None:
+        """A call of a backend or an operator."""
         self.node.call(what, body, answered, self.clock())
         self.carry_out()
 
@@ -202,10 +210,12 @@
                     save.then(True)
 
     def saved(self, save: Save, good: bool) -> None:
+        """A save has ended."""
         save.then(good)
         self.carry_out()
 
     def tick(self) -> None:
+        """What is due by now; called every `TICK` seconds."""
         self.ticker = self.loop.call_later(TICK, self.tick)
         try:
             self.node.tick(self.clock())
@@ -222,6 +232,7 @@
     # from start to stop
 
     async def start(self) -> None:
+        """Listens, links, and begins to serve."""
         if self.store is not None:
             self.store.start(self.saved)
         await self.links.start()
--- a/embersill/edge/roller.py
+++ b/embersill/edge/roller.py
@@ -36,6 +36,8 @@
 
 
 class Roller:
+    """The duty of carrying a policy down the sites, judging each step."""
+
     def __init__(
         self,
         me: Hello,
@@ -57,6 +59,7 @@
         self.finding = Finding("more")
 
     def tick(self, now: float) -> None:
+        """What is due by now."""
         rollouts = rollouts_of(self.state())
         run, passed_by, self.looked = rollouts["run"], max(now - self.looked, 0.0), now
         self.gather.tick(now)
@@ -72,6 +75,7 @@
             self.act(rollouts["number"], run, now)
 
     def act(self, number: int, run: Run, now: float) -> None:
+        """Takes the next step of a run, if it is due."""
         step, what = run["step"], f"rollout number={number} step={run['step']} told={run['told']}"
         if run["phase"] == "resting":
             if self.spent >= RESTS * run["watch_s"]:
@@ -85,6 +89,7 @@
             self.judge(number, run, now)
 
     def judge(self, number: int, run: Run, now: float) -> None:
+        """Goes on, waits or goes back, by what the gateways have seen."""
         step, found, watch = run["step"], self.finding, run["watch_s"]
         what = f"rollout number={number} step={step}"
         if found.how == "harm":
@@ -107,6 +112,7 @@
             self.gather.ask("", came, now)
 
     def take_back(self, number: int, step: int, why: str, again: bool) -> None:
+        """Lays that a step did harm; `again`: it will be tried once more."""
         what = f"rollout number={number} step={step} did={'rest' if again else 'halt'} why={one_word(why)}"
         self.duty.lay(lambda state: harmed(state, number, step, why, again), what)
 
--- a/embersill/edge/rollouts.py
+++ b/embersill/edge/rollouts.py
@@ -37,15 +37,18 @@
 
 
 def rollouts_of(state: State) -> Rollouts:
+    """The roll-outs of a state; none where it has none."""
     return state.get("rollouts") or NO_ROLLOUTS
 
 
 def with_run(state: State, run: Run | None, **more: Any) -> State:
+    """The state with this run, under the next number."""
     rollouts: Any = {**rollouts_of(state), "run": run, **more}
     return raised({**state, "rollouts": rollouts})
 
 
 def begun(state: State, wish: Wish) -> Result[State, Refusal]:
+    """The state with a new run, or why there can be none."""
     rollouts = rollouts_of(state)
     policy = read_policy(wish.get("policy"))
     if policy.is_error():
@@ -127,6 +130,7 @@
 
 
 def told(state: State, number: int, step: int) -> State | None:
+    """The state with the next step told to the gateways; None if it is not wanted any more."""
     run = current(state, number, "running", step - 1, step - 1)
     if run is None or step >= len(run["steps"]):
         return None
@@ -134,6 +138,7 @@
 
 
 def bound(state: State, number: int, step: int) -> State | None:
+    """The state with a step in force; None if it is not wanted any more."""
     run = current(state, number, "running", step - 1, step)
     return with_run(state, {**run, "step": step}) if run is not None else None
 
@@ -158,6 +163,7 @@
 
 
 def rested(state: State, number: int, step: int) -> State | None:
+    """The state with a run that goes on after its rest; None if it is not wanted any more."""
     run = current(state, number, "resting", step, step)
     return with_run(state, {**run, "phase": "running"}) if run is not None else None
 
@@ -200,4 +206,5 @@
 
 
 def stretch(number: int, tries: int, step: int, told: int) -> str:
+    """Under which name requests are counted."""
     return f"{number}.{tries}.{step}.{told}"
--- a/embersill/edge/routes.py
+++ b/embersill/edge/routes.py
@@ -31,6 +31,7 @@
 
 
 def way(name: str, route: Route) -> Way:
+    """A route of the configuration, ready to be followed."""
     split = route.get("weighted_split") or [{"service": route.get("service", ""), "weight": 1.0}]
     whole, end = sum(share["weight"] for share in split), 0.0
     shares = []
@@ -84,6 +85,7 @@
         return step is not None and step.rate <= 0.0
 
     def classes(self, most_attempts: int) -> tuple[RequestClass, ...]:
+        """The routes as kinds of request for the decisions."""
         return tuple(
             RequestClass(
                 name,
--- a/embersill/edge/squeezer.py
+++ b/embersill/edge/squeezer.py
@@ -21,6 +21,8 @@
 
 
 class Squeezer:
+    """The duty of taking the steps of orders about lapsed tenants."""
+
     def __init__(
         self,
         me: Hello,
@@ -38,6 +40,7 @@
         self.looked = now
 
     def tick(self, now: float) -> None:
+        """What is due by now."""
         lapses, passed = lapses_of(self.state()), max(now - self.looked, 0.0)
         self.looked = now
         if lapses["number"] != self.number:
@@ -52,6 +55,7 @@
                 return self.duty.lay(change, f"lapse tenant={name} from={order['step']} told={order['told']}")
 
     def counted(self, name: str, order: Order, passed: float) -> tuple[int, float]:
+        """The step of an order, and for how long it has been in force."""
         step, before = self.spent.get(name, (order["step"], 0.0))
         if step != order["step"]:
             return order["step"], 0.0
--- a/embersill/edge/status.py
+++ b/embersill/edge/status.py
@@ -29,7 +29,7 @@
         "keeper": node.roll.keeper(node.me.zone),
         "gateways": node.roll.count,
         "linked": sorted(node.roll.linked),
-        "behind": sorted(name for name in node.roll.linked if node.newest.get(name, (0, 0))[0] < version),
+        "behind": sorted(name for name in node.roll.linked if not node.distribution.has(name, (version, 0))),
         "backends": backends,
         "summed_here": len(node.demand.sums.accounts),
     }
--- a/embersill/edge/sums.py
+++ b/embersill/edge/sums.py
@@ -50,6 +50,7 @@
         self.accounts: dict[str, Account] = {}
 
     def account(self, tenant: str, now: float) -> Account | None:
+        """A tenant's account; None if there are too many."""
         found = self.accounts.get(tenant)
         if found is None and len(self.accounts) < MOST_TENANTS:
             found = self.accounts[tenant] = Account(now)
--- a/embersill/edge/tally.py
+++ b/embersill/edge/tally.py
@@ -37,6 +37,7 @@
         node.demand.on_slices, node.demand.on_lent = self.slices, self.lent
 
     def count(self, action: Count) -> None:
+        """Notes what a tenant uses here, or that its slice is wanted."""
         tenant = action.name.rpartition(".")[0]
         if action.amount > 0:
             self.use[tenant] = action.amount
@@ -47,6 +48,7 @@
             self.later(GATHER, self.flush)
 
     def flush(self) -> None:
+        """Tells the members that sum what was gathered."""
         self.gathering = False
         if self.closed:
             return
@@ -71,6 +73,7 @@
         self.flushed()
 
     def slices(self, slices: dict[str, float], at: float | None) -> None:
+        """Slices have come; `at`: when they were reckoned."""
         age = max(self.clock() - at, 0.0) if at is not None else None
         for tenant, rate in slices.items():
             self.told(Sliced(tenant, rate, age))
@@ -95,16 +98,19 @@
             self.later(0.0, lambda: self.lent({action.customer: UNREACHED}))
 
     def lend_here(self, asked: dict[str, float]) -> None:
+        """This gateway sums for these tenants itself."""
         lent, slices = self.node.demand.lend(self.node.me.name, asked, self.node.now)
         self.lent(lent)
         self.slices(slices, self.clock())
 
     def lent(self, units: dict[str, float]) -> None:
+        """The reserve has lent, or not."""
         for tenant, lent in units.items():
             if self.lenders.pop(tenant, None) is not None:
                 self.told(Lent(tenant, lent))
 
     def tick(self) -> None:
+        """Gives up loans that nobody has answered in time."""
         now = self.clock()
         for tenant, until in list(self.lenders.items()):
             if now >= until:
@@ -114,4 +120,5 @@
         """There is no counter that could move."""
 
     def close(self) -> None:
+        """Nothing is told any more."""
         self.closed = True
--- a/embersill/edge/watch.py
+++ b/embersill/edge/watch.py
@@ -32,9 +32,11 @@
 
     @property
     def asked(self) -> int:
+        """All requests that have ended."""
         return self.served + self.refused + self.failed
 
     def add(self, other: Seen) -> None:
+        """Adds another gateway's counts."""
         self.served += other.served
         self.refused += other.refused
         self.failed += other.failed
@@ -63,12 +65,14 @@
         self.now = self.stretches[label]
 
     def of(self, kind: str) -> Seen | None:
+        """The counts of a kind of request; None if there are too many kinds."""
         found = self.now.get(kind)
         if found is None and len(self.now) < MOST_KINDS:
             found = self.now[kind] = Seen()
         return found
 
     def let_on(self, number: int, kind: str) -> None:
+        """A request went on."""
         if len(self.open) < MOST_OPEN:
             self.open[number] = kind
 
@@ -77,21 +81,25 @@
         self.open.pop(number, None)
 
     def ended(self, number: int, kind: str) -> Seen | None:
+        """A request has ended; the counts of its kind."""
         self.open.pop(number, None)
         return self.of(kind)
 
     def served(self, number: int, kind: str, seconds: float) -> None:
+        """A request was answered with success after so many seconds."""
         seen = self.ended(number, kind)
         if seen is not None:
             seen.served += 1
             seen.took[bisect_left(BOUNDS, seconds)] += 1
 
     def refused(self, number: int, kind: str) -> None:
+        """A request was refused."""
         seen = self.ended(number, kind)
         if seen is not None:
             seen.refused += 1
 
     def failed(self, number: int, kind: str) -> None:
+        """A request has failed."""
         seen = self.ended(number, kind)
         if seen is not None:
             seen.failed += 1
--- a/embersill/lab/edge/control_fences.py
+++ b/embersill/lab/edge/control_fences.py
@@ -32,6 +32,7 @@
 
 
 CELL = "embersill.edge.cell"
+DISTRIBUTION = "embersill.edge.distribution"
 DEPARTURES, DOCUMENT = "embersill.edge.departures", "embersill.edge.document"
 HANDOVER, LEASE = "embersill.edge.handover", "embersill.edge.lease"
 MEMBERSHIP, NODE = "embersill.edge.membership", "embersill.edge.node"
@@ -52,7 +53,7 @@
         "cut_member",
         Fence(
             "vouched-document",
-            NODE,
+            DISTRIBUTION,
             "a member that is cut off hands out an old configuration",
             "if self.agreement.speaks():",
             "if True:",
@@ -145,7 +146,7 @@
             "last-copy",
             HANDOVER,
             "a member leaves with the only copy",
-            "return 2 * there > len(self.roster.members)",
+            "return there >= majority(len(self.roster.members))",
             "return True",
         ),
     ),
--- a/embersill/lab/edge/worst_days.py
+++ b/embersill/lab/edge/worst_days.py
@@ -252,8 +252,9 @@
         names = {machine.name}
         if self.chance.random() < 0.4:
             near = self.chance.choice([one for one in self.fleet.machines if not one.core])
-            names.add(near.name)
-            self.disturbed[near.name] = FOR_EVER
+            if self.disturbed[near.name] < FOR_EVER:
+                names.add(near.name)
+                self.disturbed[near.name] = FOR_EVER
         self.fleet.cut(names)
         if self.chance.random() < 0.3:
             machine.kill()
@@ -404,7 +405,7 @@
     def kill_gateway(self) -> None:
         """A gateway that does not count is killed."""
         machine = self.chance.choice([one for one in self.fleet.machines if not one.core])
-        if machine.node is not None:
+        if self.disturbed[machine.name] < FOR_EVER:
             machine.kill()
             self.disturbed[machine.name] = FOR_EVER
 
