--- a/embersill/lab/edge/troubles.py
+++ b/embersill/lab/edge/troubles.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Collection
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -24,6 +25,7 @@
     lasts: bool = True  # it has a duration
     fields: Trouble = field(default_factory=dict)
     strengths: tuple[float, ...] = ()  # one of these is its `x`
+    contract: str = ""  # only sites with this contract know it
 
     def draw(self, chance: random.Random) -> Trouble:
         """One trouble of this kind at a drawn moment."""
@@ -110,11 +112,11 @@
     Kind("retry_abuse", fields={"share": 0.3}, strengths=(2.0, 4.0)),
     Kind("give_up", fields={"share": 0.4}),
     Kind("srv_slow", fields={"share": 0.2}, strengths=(3.0, 6.0)),
-    Kind("srv_grey", fields={"share": 0.15}),
-    Kind("srv_lying_health", fields={"share": 0.2}),
-    Kind("srv_flap", fields={"share": 0.15}),
+    Kind("srv_grey", fields={"share": 0.15}, contract="health"),
+    Kind("srv_lying_health", fields={"share": 0.2}, contract="health"),
+    Kind("srv_flap", fields={"share": 0.15}, contract="health"),
     Kind("replace_with_reuse", ("", "dark"), lasts=False, fields={"share": 0.15}),
-    Kind("idle_race", fields={"share": 0.5}),
+    Kind("idle_race", fields={"share": 0.5}, contract="pool"),
     Kind("node_freeze", fields={"share": 0.2}),
     Kind("node_freeze", fields=ON_CORE),
     Kind("node_slow", fields={"share": 0.2}, strengths=(4.0,)),
@@ -126,3 +128,8 @@
     Kind("reset_conns", fields={**ON_CORE}, strengths=(1.0,)),
     Kind("ack_lost", strengths=(0.5, 0.8)),
 )
+
+
+def known(kinds: Collection[Kind], contracts: Collection[str]) -> list[Kind]:
+    """The kinds that a site with these contracts knows."""
+    return [kind for kind in kinds if not kind.contract or kind.contract in contracts]
--- a/tests/edge/test_control.py
+++ b/tests/edge/test_control.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Collection
+from typing import Any
 
 import pytest
 
@@ -11,8 +12,9 @@
 from embersill.edge.membership import Candidate, Requirements, next_members
 from embersill.edge.records import Roster, Seat
 from embersill.edge.serial import Finished, Serial
-from embersill.lab.edge import control
+from embersill.lab.edge import control, days
 from embersill.lab.edge.fleet import change
+from embersill.lab.edge.troubles import FAULTS, PLANNED
 from embersill.lab.edge.worst_days import worst_day
 from embersill.world.version_history import Order, Outcome, Read, violations
 
@@ -178,3 +180,22 @@
     assert violations([*good, order(2, 1, taken, 8.0, "another")], [])  # two under one number
     assert violations([*good, order(1, 0, refused, 8.0)], [])  # refused after it was acknowledged
     assert violations(good, [Read(1, 4.0, 5.0)]) and violations(good, [Read(9, 4.0, 5.0)])
+
+
+SITE = {"contracts": ["base"], "day": [{"name": "t-1", "slot": "trouble", "traffic": [], "labels": []}]}
+
+
+def kinds_of(day: dict[str, Any]) -> set[str]:
+    return {trouble["kind"] for trouble in (*day["plan"], *day["faults"])}
+
+
+def test_drawn_days_repeat_and_know_only_what_their_site_knows() -> None:
+    drawn = [days.day(SITE, days.ANYTHING, seed) for seed in range(60)]
+    assert drawn[7] == days.day(SITE, days.ANYTHING, 7) != drawn[8]
+    met = set[str]().union(*map(kinds_of, drawn))
+    bound = {kind.name for kind in (*FAULTS, *PLANNED) if kind.contract}
+    assert met == {kind.name for kind in (*FAULTS, *PLANNED)} - bound
+    rich = {**SITE, "contracts": ["health", "pool"]}
+    assert bound <= set[str]().union(*(kinds_of(days.day(rich, days.ANYTHING, seed)) for seed in range(60)))
+    for point in days.POINTS:
+        assert kinds_of(days.day(SITE, point, 1))
