Seats are spread where whole zones or regions may be lost

Cause: where fault_tolerance names zones or regions, a lost member's seat went to a newcomer of any zone, so one zone could come to hold so many seats that its loss left no majority; the founder counted zones, not regions. Change: requirements name the places that may be lost; a successor comes of the same place, else of the one with fewest seats, and of none that would crowd its place; crowded seats go to newcomers of other places; the first members are spread over places, fewer if need be. Where only machines may be lost nothing changes.

--- a/embersill/edge/founding.py
+++ b/embersill/edge/founding.py
@@ -8,7 +8,8 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping
 
 from embersill.edge.agreement import Agreement
 from embersill.edge.document import EMPTY
@@ -22,13 +23,31 @@
 STAGGER = 0.3  # seconds by which a member waits for each that goes before it, by name
 
 
-def spread(cores: list[Hello]) -> list[Hello]:
-    """One of each zone in turn, so that seats are not all in a few."""
-    zones: dict[str, list[Hello]] = {}
-    for hello in sorted(cores, key=lambda hello: hello.name):
-        zones.setdefault(hello.zone, []).append(hello)
-    rounds = max((len(names) for names in zones.values()), default=0)
-    return [names[n] for n in range(rounds) for _, names in sorted(zones.items()) if n < len(names)]
+def in_turn(groups: Mapping[str, list[Hello]]) -> list[Hello]:
+    """One of each group in turn."""
+    rounds = max((len(group) for group in groups.values()), default=0)
+    return [group[n] for n in range(rounds) for _, group in sorted(groups.items()) if n < len(group)]
+
+
+def grouped(cores: Iterable[Hello], key: Callable[[Hello], str]) -> dict[str, list[Hello]]:
+    """Machines by a key, in their order."""
+    groups: dict[str, list[Hello]] = {}
+    for hello in cores:
+        groups.setdefault(key(hello), []).append(hello)
+    return groups
+
+
+def spread(cores: list[Hello], requirements: Requirements) -> list[Hello]:
+    """Who has a seat first: of each place that may be lost one in turn, and within it of each zone."""
+    by_zone = in_turn(grouped(sorted(cores, key=lambda hello: hello.name), lambda hello: hello.zone))
+    ordered = in_turn(grouped(by_zone, lambda hello: requirements.place(hello.zone)))
+    seats = min(len(ordered), MOST_SEATS)
+    while requirements.places and seats > requirements.least:
+        taken = Counter(requirements.place(hello.zone) for hello in ordered[:seats])
+        if max(taken.values()) <= requirements.most_in_a_place(seats):
+            break
+        seats -= 1  # the last ones are of the places that have most
+    return ordered[:seats]
 
 
 def order(ip: str) -> tuple[int, ...]:
@@ -73,7 +92,7 @@
             and len(self.roll.linked) >= len(self.roll.seeds)
             or (now - self.born >= AT_LATEST)
         ):
-            members = {hello.name: Seat(hello.ip, hello.store) for hello in spread(cores)[:MOST_SEATS]}
+            members = {hello.name: Seat(hello.ip, hello.store) for hello in spread(cores, self.requirements)}
             self.agreement.begin(Roster(1, members), EMPTY)
             self.send_all()
 
--- a/embersill/edge/membership.py
+++ b/embersill/edge/membership.py
@@ -3,13 +3,19 @@
 A newcomer that has the state in force takes the seat of a member that is lost or leaving, in the same epoch
 change in which that member loses it. So the number of members does not grow in between, and once the epoch
 has begun as many further losses can be borne as before. While all members are well a newcomer only stands by.
+
+Where whole zones or regions may be lost, no such place may have so many seats that the others are no
+majority: a seat goes to a newcomer of the same place, else of the one with the fewest, and to none that would
+crowd its place. Seats that are crowded all the same go to newcomers of other places as soon as there are any.
 """
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Collection, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from embersill.council.terms import majority
 from embersill.edge.records import Roster, Seat
 
 MOST_SEATS = 9  # members: more would agree no better, only slower
@@ -31,7 +37,16 @@
     """What the deployment has to bear."""
 
     least: int = 3  # members without which the losses that are to be borne could not be
-    keep_zones: bool = False  # whole zones or regions may be lost: no seat is given up without a successor
+    # by zone, the place that may be lost as a whole: the zone itself or its region; empty: only machines are
+    places: Mapping[str, str] = field(default_factory=dict)
+
+    def place(self, zone: str) -> str:
+        """What is lost with a machine of this zone."""
+        return self.places.get(zone, zone)
+
+    def most_in_a_place(self, members: int) -> int:
+        """Seats that one place may have, so that the others are a majority."""
+        return members - majority(members) if self.places else members
 
 
 def departures(roster: Roster, missing: Mapping[str, float], leaving: Collection[str]) -> list[str]:
@@ -43,9 +58,68 @@
     return sorted(gone, key=lambda name: (-missing.get(name, 0.0), name))
 
 
-def pick(candidates: list[Candidate], zone: str | None) -> Candidate:
-    """The one that takes a seat: of the same zone where there is one."""
-    return min(candidates, key=lambda one: (one.zone != zone, one.name))
+class Seating:
+    """Seats while the next epoch is made up."""
+
+    def __init__(
+        self,
+        roster: Roster,
+        candidates: list[Candidate],
+        zones: Mapping[str, str],
+        requirements: Requirements,
+    ) -> None:
+        """`zones`: of members, as far as they are known."""
+        self.members = dict(roster.members)
+        self.free = list(candidates)
+        self.requirements = requirements
+        self.zones = {**zones, **{one.name: one.zone for one in candidates}}
+
+    def place_of(self, name: str) -> str | None:
+        """The place of a machine; None where its zone is not known."""
+        zone = self.zones.get(name)
+        return self.requirements.place(zone) if zone is not None else None
+
+    def seats_by_place(self) -> Counter[str | None]:
+        """How many seats each place has."""
+        return Counter(self.place_of(name) for name in self.members)
+
+    def successor(self, name: str) -> Candidate | None:
+        """The newcomer for a member's seat; None if each would crowd its place."""
+        zone, place, seats = self.zones.get(name), self.place_of(name), self.seats_by_place()
+        most = self.requirements.most_in_a_place(len(self.members))
+
+        def fits(candidate: Candidate) -> bool:
+            there = self.place_of(candidate.name)
+            return there == place or seats[there] < most or not self.requirements.places
+
+        def preference(candidate: Candidate) -> tuple[bool, bool, int, str]:
+            elsewhere = self.place_of(candidate.name) != place
+            return candidate.zone != zone, elsewhere, self.crowd(candidate, seats), candidate.name
+
+        fitting = [one for one in self.free if fits(one)]
+        return min(fitting, key=preference) if fitting else None
+
+    def crowd(self, candidate: Candidate, seats: Counter[str | None]) -> int:
+        """Seats of a newcomer's place, where that matters."""
+        return seats[self.place_of(candidate.name)] if self.requirements.places else 0
+
+    def seat(self, candidate: Candidate, instead_of: str | None = None) -> None:
+        """A newcomer takes a seat, its own or a member's."""
+        if instead_of is not None:
+            del self.members[instead_of]
+        self.free.remove(candidate)
+        self.members[candidate.name] = candidate.seat
+
+    def spread_out(self) -> None:
+        """Gives seats of crowded places to newcomers of others."""
+        most = self.requirements.most_in_a_place(len(self.members))
+        while self.free:
+            seats = self.seats_by_place()
+            crowded = [name for name in sorted(self.members) if seats[self.place_of(name)] > most]
+            newcomers = [one for one in self.free if seats[self.place_of(one.name)] < most]
+            if not crowded or not newcomers:
+                return
+            self.seat(min(newcomers, key=lambda one: (self.crowd(one, seats), one.name)), crowded[-1])
 
 
 def next_members(
@@ -61,21 +135,21 @@
     `candidates`: linked machines of the core that are up to date and have no seat. `zones`: of members, as
     far as they are known.
     """
-    members, free = dict(roster.members), list(candidates)
+    seating = Seating(roster, candidates, zones, requirements)
+    members = seating.members
     for name in departures(roster, missing, leaving):
-        if free:
-            chosen = pick(free, zones.get(name))
-            free.remove(chosen)
-            del members[name]
-            members[chosen.name] = chosen.seat
+        chosen = seating.successor(name)
+        if chosen is not None:
+            seating.seat(chosen, instead_of=name)
         elif (
             missing.get(name, 0.0) >= LEFT_OUT_AFTER
             and len(members) > requirements.least
-            and not requirements.keep_zones
+            and not requirements.places
         ):
             del members[name]
-    while free and len(members) < min(requirements.least, MOST_SEATS):
-        chosen = pick(free, None)
-        free.remove(chosen)
-        members[chosen.name] = chosen.seat
+    while seating.free and len(members) < min(requirements.least, MOST_SEATS):
+        seats = seating.seats_by_place()
+        seating.seat(min(seating.free, key=lambda one: (seating.crowd(one, seats), one.name)))
+    if requirements.places:
+        seating.spread_out()
     return members
--- a/embersill/edge/program.py
+++ b/embersill/edge/program.py
@@ -293,8 +293,12 @@
 def requirements_of(local: Local) -> Requirements:
     """What the membership has to bear, by the settings; one machine where they are silent."""
     borne = local.get("fault_tolerance", {"machine_failures": 1})
-    whole_places = borne.get("zones", 0) + borne.get("regions", 0) > 0
-    return Requirements(max(2 * borne["machine_failures"] + 1, 3), whole_places)
+    regions, places = local.get("zones", {}), dict[str, str]()
+    if borne.get("regions", 0) > 0:
+        places = dict(regions)
+    elif borne.get("zones", 0) > 0:
+        places = {zone: zone for zone in regions or (local["zone"],)}
+    return Requirements(max(2 * borne.get("machine_failures", 0) + 1, 3), places)
 
 
 def prepared(environment: dict[str, str]) -> Result[tuple[Local, Store | None, Stored], str]:
--- a/embersill/lab/edge/control_fences.py
+++ b/embersill/lab/edge/control_fences.py
@@ -126,8 +126,8 @@
             "one-step",
             MEMBERSHIP,
             "a newcomer takes no seat while the lost member has one",
-            "if free:\n",
-            "if False:\n",
+            "if chosen is not None:",
+            "if False:",
         ),
     ),
     Guarded(
--- a/tests/edge/test_control.py
+++ b/tests/edge/test_control.py
@@ -127,6 +127,7 @@
 ZONES = {"m1": "a", "m2": "b", "m3": "c"}
 NEW = [Candidate("n7", "b", seat(7)), Candidate("n8", "c", seat(8))]
 BORNE_ONE = Requirements(3)
+ZONES_MAY_GO = {zone: zone for zone in "abc"}
 
 
 def next_names(
@@ -153,7 +154,7 @@
     assert next_names([], {"m3": 60.0}) == ["m1", "m2", "m3"]
     assert next_names([], {"m3": 5.0}, roster=four) == ["m1", "m2", "m3", "m4"]
     assert next_names([], {"m3": 7.0}, roster=four) == ["m1", "m2", "m4"]
-    assert next_names([], {"m3": 7.0}, roster=four, requirements=Requirements(3, True)) == [
+    assert next_names([], {"m3": 7.0}, roster=four, requirements=Requirements(3, ZONES_MAY_GO)) == [
         "m1",
         "m2",
         "m3",
