--- a/tests/tiers/test_partition.py
+++ b/tests/tiers/test_partition.py
@@ -22,8 +22,8 @@
 def patient(seconds: float) -> dict[str, float]:
     """Terms for plays that count what moved or was decided without its planner.
 
-    Both rightly happen whenever the machine itself stands still for as long as a planner may be silent. So that
-    is longer here, and still well below the trouble that is played.
+    Both rightly happen whenever the machine itself stands still for as long as a planner may be silent. So
+    that is longer here, and still well below the trouble that is played.
     """
     return {"silent_after": seconds, "patience_part": 0.5, "patience_most": seconds}
 
