--- a/embersill/lab/__main__.py
+++ b/embersill/lab/__main__.py
@@ -15,7 +15,7 @@
 from rich.table import Table
 
 from embersill.lab import commands, faults
-from embersill.lab.edge import control_command, days, plots, totals, trying
+from embersill.lab.edge import control_command, days, plots, sites, totals, trying
 from embersill.rig.deployment import Deployment, Shape, play
 from embersill.lab.fuzzing import command as fuzzing
 
@@ -96,6 +96,7 @@
     faults.add_to(others)
     totals.add_to(others)
     control_command.add_to(others)
+    sites.add_to(others)
     days.add_to(others)
     plots.add_to(others)
     trying.add_to(others)
@@ -112,6 +113,8 @@
         return faults.COMMANDS[options.what](options)
     if options.what == "totals":
         return totals.main(options)
+    if options.what == "site":
+        return sites.main(options)
     if options.what == "control":
         return control_command.main(options)
     if options.what == "days":
--- a/embersill/lab/edge/news.py
+++ b/embersill/lab/edge/news.py
@@ -9,6 +9,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 import msgspec
@@ -21,6 +22,7 @@
 TENANTS_EACH = 0.9  # tenants a gateway
 BACKENDS_EACH = 1.4  # backends a gateway
 BEAT = 1.3  # seconds between a backend's calls
+JOIN = 4.0  # seconds in which all link and load rises, which are not counted
 HEARTBEAT = len(msgspec.json.encode({"kind": "beat"})) + 1  # bytes of a line that only says "I am here"
 
 
@@ -30,9 +32,9 @@
     spent = 0.0
 
     def timed(self, what: Callable[[], None]) -> None:
-        began = time.perf_counter()
+        began = time.process_time()
         what()
-        self.spent += time.perf_counter() - began
+        self.spent += time.process_time() - began
 
     def tick(self) -> None:
         self.timed(super().tick)
@@ -60,10 +62,10 @@
         super().send(sender, peer, message)
 
     def arrive(self, sender: Machine, life: int, to: Machine, its_life: int, message: Any) -> None:
-        began = time.perf_counter()
+        began = time.process_time()
         super().arrive(sender, life, to, its_life, message)
         if isinstance(to, MeasuredGateway):
-            to.spent += time.perf_counter() - began
+            to.spent += time.process_time() - began
 
     def clear(self) -> None:
         for counter in (self.told, self.messages, self.out_of, self.into):
@@ -77,9 +79,17 @@
     """Backends that call their keeper, as the answer to their last call named it."""
 
     def beat(number: int, calls: int, where: Machine) -> None:
-        told = {"id": f"i-{number}", "service": "s", "address": f"10.9.{number // 250}.{number % 250}:80",
-                "zone": "abc"[number % 3], "version": "v1", "capacity_slots": 4, "state": "ready",
-                "call_sequence": calls, "warmup_remaining_s": 0}
+        told = {
+            "id": f"i-{number}",
+            "service": "s",
+            "address": f"10.9.{number // 250}.{number % 250}:80",
+            "zone": "abc"[number % 3],
+            "version": "v1",
+            "capacity_slots": 4,
+            "state": "ready",
+            "call_sequence": calls,
+            "warmup_remaining_s": 0,
+        }
         heard = where.call("beat", told)
 
         def again() -> None:
@@ -95,41 +105,76 @@
         town.kernel.at(town.kernel.now + BEAT * number / count, beat, number, 1, machine)
 
 
-def measure(gateways: int, seconds: float = 10.0, seed: int = 1, cores: int = 0) -> dict[str, Any]:
-    """Figures of a calm town: by kind, bytes a second and gateway; the busiest gateway's; processor time.
+@dataclass(frozen=True, slots=True)
+class Shape:
+    """A town's size, and what is asked of it."""
 
-    `cores`: members of the core; three where it is nought, six from 50 gateways on.
-    """
+    gateways: int
+    backends: int
+    tenants: int
+    asked: float = ASKED  # requests a second and gateway
+    cores: int = 3  # members of the core among the gateways
+
+
+def usual(gateways: int, cores: int = 0) -> Shape:
+    """A town as deployments of that size are; three members of the core, six from 50 gateways on."""
     cores = cores or (6 if gateways >= 50 else 3)
-    tenants = max(int(TENANTS_EACH * gateways), 4)
-    quotas = {f"t{n}": (4 * ASKED, 4 * ASKED) for n in range(tenants)}
-    backends = max(int(BACKENDS_EACH * gateways), 12)
-    town = with_tenants(seed, gateways, quotas, 4, backends, MeasuredTown, cores)
+    backends, tenants = int(BACKENDS_EACH * gateways), int(TENANTS_EACH * gateways)
+    return Shape(gateways, max(backends, 12), max(tenants, 4), ASKED, cores)
+
+
+def played(shape: Shape, seconds: float, seed: int) -> tuple[MeasuredTown, int]:
+    """A town after so many calm seconds that were counted, and the bytes that it took to join."""
+    quotas = {f"t{n}": (4 * shape.asked, 4 * shape.asked) for n in range(shape.tenants)}
+    town = with_tenants(seed, shape.gateways, quotas, 4, shape.backends, MeasuredTown, shape.cores)
     assert isinstance(town, MeasuredTown)
-    chance, until = town.kernel.stream("where"), town.kernel.now + seconds + 4.0
+    chance, until = town.kernel.stream("where"), town.kernel.now + seconds + JOIN
     beating(town, len(town.backends), until)
     for name in quotas:
-        town.call(name, ASKED * gateways / tenants, lambda: chance.choice(town.machines), until)
-    town.run(4.0)
-    joined = dict(town.told)
+        rate = shape.asked * shape.gateways / shape.tenants
+        town.call(name, rate, lambda: chance.choice(town.machines), until)
+    town.run(JOIN)
+    joined = sum(town.told.values())
     town.clear()
     town.run(seconds)
-    unit = gateways * seconds
+    return town, joined
+
+
+def measure(
+    gateways: int, seconds: float = 10.0, seed: int = 1, cores: int = 0, shape: Shape | None = None
+) -> dict[str, Any]:
+    """Figures of a calm town: by kind, bytes a second and gateway; the busiest gateway's; processor time.
+
+    `shape`: in place of the usual one for so many gateways.
+    """
+    shape = shape or usual(gateways, cores)
+    town, joined = played(shape, seconds, seed)
+    unit = shape.gateways * seconds
     links = sum(len(machine.up) for machine in town.machines)
     core = [m for m in town.machines if m.core]
+    edge = [m for m in town.machines if not m.core]
     spent = {m.name: m.spent / seconds for m in town.machines if isinstance(m, MeasuredGateway)}
-    others = [spent[m.name] for m in town.machines if not m.core]
+    both_ways = town.out_of + town.into
     return {
-        "gateways": gateways, "core": cores, "backends": len(town.backends), "tenants": tenants,
+        "gateways": shape.gateways,
+        "core": shape.cores,
+        "backends": len(town.backends),
+        "tenants": shape.tenants,
         "bytes_a_gateway_and_s": round(sum(town.told.values()) / unit, 1),
         "between_zones": round(sum(size for (_, far), size in town.told.items() if far) / unit, 1),
-        "by_kind": {kind: round(sum(size for (one, _), size in town.told.items() if one == kind) / unit, 2)
-                    for kind in sorted({kind for kind, _ in town.told})},
+        "by_kind": {
+            kind: round(sum(size for (one, _), size in town.told.items() if one == kind) / unit, 2)
+            for kind in sorted({kind for kind, _ in town.told})
+        },
         "messages_a_gateway_and_s": round(sum(town.messages.values()) / unit, 2),
-        "heartbeats_at_most": round(links / gateways * HEARTBEAT / BEAT_EVERY, 1),
+        "heartbeats_at_most": round(links / shape.gateways * HEARTBEAT / BEAT_EVERY, 1),
         "busiest_out_bytes_a_s": round(max(town.out_of.values()) / seconds),
         "busiest_in_bytes_a_s": round(max(town.into.values()) / seconds),
         "least_of_core_out_bytes_a_s": round(min(town.out_of[m.name] for m in core) / seconds),
+        "edge_bytes_a_s": round(sum(both_ways[m.name] for m in edge) / max(len(edge), 1) / seconds, 1),
+        "core_bytes_a_s": round(sum(both_ways[m.name] for m in core) / len(core) / seconds, 1),
         "processor_core_most": round(max(spent[m.name] for m in core), 4),
-        "processor_gateway": round(sum(others) / max(len(others), 1), 4),
-        "bytes_to_join": sum(joined.values())}
+        "processor_core": round(sum(spent[m.name] for m in core) / len(core), 5),
+        "processor_gateway": round(sum(spent[m.name] for m in edge) / max(len(edge), 1), 5),
+        "bytes_to_join": joined,
+    }
--- a/tests/edge/test_control.py
+++ b/tests/edge/test_control.py
@@ -12,7 +12,7 @@
 from embersill.edge.membership import Candidate, Requirements, next_members
 from embersill.edge.records import Roster, Seat
 from embersill.edge.serial import Finished, Serial
-from embersill.lab.edge import control, days
+from embersill.lab.edge import control, days, sites
 from embersill.lab.edge.fleet import change
 from embersill.lab.edge.troubles import FAULTS, PLANNED
 from embersill.lab.edge.worst_days import worst_day
@@ -200,3 +200,20 @@
     assert bound <= set[str]().union(*(kinds_of(days.day(rich, days.ANYTHING, seed)) for seed in range(60)))
     for point in days.POINTS:
         assert kinds_of(days.day(SITE, point, 1))
+
+
+def test_another_deployment_is_made_of_a_sites_file() -> None:
+    counted = [{"zone": zone, "count": 1, "counted": True} for zone in "abc"]
+    site: dict[str, Any] = {
+        "name": "s",
+        "zones": [{"name": zone, "region": "r"} for zone in "abc"],
+        "machines": [*counted, {"zone": "a", "count": 4}],
+        "tolerate": {"machines": 1, "zones": 0, "regions": 0},
+    }
+    made = sites.variant(site, "five")
+    assert [group["count"] for group in made["machines"]] == [2, 2, 1, 4]
+    assert made["tolerate"] == {"machines": 2, "zones": 0, "regions": 0} and made["name"] == "s-five"
+    assert sites.variant(site, "zones")["tolerate"]["zones"] == 1
+    assert len({zone["region"] for zone in sites.variant(site, "regions")["zones"]}) == 3
+    with pytest.raises(ValueError, match="three zones"):
+        sites.variant({**site, "zones": site["zones"][:2]}, "six")
