A member without a majority takes no backend for lost

A third of the requests were refused for 13 s, until the cut had healed. Change: who hears no more than half of the members judges no backend's silence, and silence counts only from then on when it hears a majority again.

--- a/embersill/edge/cell.py
+++ b/embersill/edge/cell.py
@@ -153,8 +153,7 @@
         self.now = now
         self.departures.tick(now)
         if self.in_core:
-            self.tell(self.instances.silent(now, MISSED * self.beat_every))
-            self.adopt(now)
+            self.judge(now)
             self.changed = self.changed or self.roll.count > self.counted
             if self.changed and not self.saving and now >= self.save_at:
                 self.save(now)
@@ -165,15 +164,22 @@
                 del self.restored[one.id]
             self.tell(self.instances.merge([msgspec.structs.replace(one, lost=True) for one in late], now))
 
-    def adopt(self, now: float) -> None:
-        """Watches over what a lost keeper kept, so that a backend that ended with it is noticed.
+    def judge(self, now: float) -> None:
+        """Takes backends for lost that were not heard for too long, as far as this member may.
 
-        A keeper that others can't hear may hear its backends all the same, and be heard by gateways: who has
-        no majority of the core judges none of them, and the others give it time.
+        A keeper that others can't hear may hear its backends all the same, and be heard by gateways; and what
+        it does not hear may be heard by the others. Who has no majority of the core judges none of them, and
+        silence counts for it only once it has one again.
         """
         members = self.roll.roster.members if self.roll.roster is not None else {}
         if 2 * len(self.roll.core) <= len(members):
+            self.instances.excuse(now)
             return
+        self.tell(self.instances.silent(now, MISSED * self.beat_every))
+        self.adopt(now)
+
+    def adopt(self, now: float) -> None:
+        """Watches over what a lost keeper kept, so that a backend that ended with it is noticed."""
         away = self.roll.away
         orphans = self.instances.orphans([*self.roll.linked, self.me.name])
         lost = [one for one in orphans if now - away.get(one.keeper, now) >= ADOPT_AFTER]
--- a/embersill/edge/instances.py
+++ b/embersill/edge/instances.py
@@ -113,6 +113,10 @@
         self.heard.pop(name, None)
         return self.merge([msgspec.structs.replace(before, state=GONE, sequence=before.sequence + 1)], now)
 
+    def excuse(self, now: float) -> None:
+        """Silence up to now counts for nothing."""
+        self.heard = dict.fromkeys(self.heard, now)
+
     def silent(self, now: float, after: float) -> list[Instance]:
         """Those that called here and do so no more: taken to be lost until they are heard again."""
         news: list[Instance] = []
--- a/tests/edge/test_system.py
+++ b/tests/edge/test_system.py
@@ -303,6 +303,28 @@
             assert all(one.open for one in known.values()), (machine.name, sequence)
 
 
+def test_a_member_that_is_cut_off_takes_no_backend_for_lost_that_has_gone_back_to_its_keeper() -> None:
+    """A backend reports once to a member that is cut off from the others, and then to its keeper again.
+
+    For the keeper nothing has changed, so it tells no news; gateways know the other member's word alone.
+    """
+    fleet = founded(12, 3, 3)
+    cut, keeper, other = fleet.machines[:3]
+    keeper.call("beat", beat("ready", 1, keeper.zone))
+    fleet.run(0.7)
+    fleet.cut_off[cut.name] = {keeper.name, other.name}
+    cut.call("beat", beat("ready", 2, keeper.zone))
+    for sequence in range(3, 20):
+        if sequence == 16:
+            fleet.heal()  # silence until now counts for nothing
+        fleet.run(0.7)
+        keeper.call("beat", beat("ready", sequence, keeper.zone))
+        for machine in fleet.machines:
+            assert machine.node is not None
+            known = machine.node.cell.instances.known
+            assert all(one.open for one in known.values()), (machine.name, sequence)
+
+
 def test_members_that_look_whether_another_has_written_do_not_tell_what_is_known() -> None:
     fleet = founded(5, others=2)
     base = fleet.machines[0].node.state["version"]  # type: ignore[union-attr]
