--- a/tests/edge/test_fences.py
+++ b/tests/edge/test_fences.py
@@ -19,6 +19,8 @@
 BEHIND = "test_slowed.py::test_a_slowed_tenant_waits_at_no_backend_before_others_and_is_given_its_token_back"
 HELD = "test_slowed.py::test_a_slowed_tenant_is_held_for_a_moment_and_what_was_held_before_keeps_its_bound"
 SYNCED = "test_system.py::test_what_was_acknowledged_is_on_disks_by_then"
+GONE_BACK = (
+    "test_system.py::test_a_member_that_is_cut_off_takes_no_backend_for_lost_that_has_gone_back_to_its_keeper")
 DEALT = "test_parts.py::test_slices_reserve_and_silent_gateways_never_have_more_than_the_quota"
 SPOILT = "test_sockets.py::test_what_a_backend_spoils_never_reaches_a_client_as_a_success"
 
@@ -147,6 +149,9 @@
         "own-judgement", CELL, "a member that is cut off takes others' backends for lost",
         "if 2 * len(self.roll.core) <= len(members):", "if False:",
         ((CELL, "if now - away.get(one.keeper, now) >= ADOPT_AFTER]", "if True]"),))),
+    (GONE_BACK, Fence(
+        "own-silence", CELL, "a member that is cut off takes for lost what it hears no more",
+        "self.instances.excuse(now)\n            return", "pass")),
     ("test_quotas.py::test_a_thin_tenant_that_presses_at_many_gateways_has_no_request_from_each", Fence(
         "whole-token", "embersill.throttle", "a full bank of less than a token lets one go at each gateway",
         "(units if self.whole else min(units, self.bank))", "min(units, self.bank)")),
