--- a/benchmarks/hollow.py
+++ b/benchmarks/hollow.py
@@ -154,9 +154,9 @@
     told: dict[str, dict[str, Any]] = {}
     for figure in FIGURES:
         own = [growth for growth in made if growth.figure == figure]
-        base = statistics.fmean(growth.at(getattr(BASE, growth.varied)) for growth in own)
         there = [growth.at(getattr(TARGET, growth.varied)) for growth in own]
         here = [growth.at(getattr(BASE, growth.varied)) for growth in own]
+        base = statistics.fmean(here)
         added = base + sum(more - less for more, less in zip(there, here, strict=True))
         multiplied = base * math.prod(more / less for more, less in zip(there, here, strict=True))
         bound = BOUNDS.get(figure)
--- a/embersill/edge/agreement.py
+++ b/embersill/edge/agreement.py
@@ -161,7 +161,7 @@
                 self.effects.mail.append((peer, message))
 
             self.answer(ask, reply)
-        elif message["life"] == self.life:  # else a life that is over has asked under the same number
+        else:  # to this life: `Node` drops the others
             member.answered(message["n"], msgspec.convert(message["answer"], AnyAnswer), self.now)
             self.deliver()
 
--- a/embersill/edge/cell.py
+++ b/embersill/edge/cell.py
@@ -171,8 +171,7 @@
         it does not hear may be heard by the others. Who has no majority of the core judges none of them, and
         silence counts for it only once it has one again.
         """
-        members = self.roll.roster.members if self.roll.roster is not None else {}
-        if 2 * len(self.roll.core) <= len(members):
+        if self.roll.on_its_own:
             self.instances.excuse(now)
             return
         self.tell(self.instances.silent(now, MISSED * self.beat_every))
--- a/embersill/edge/membership.py
+++ b/embersill/edge/membership.py
@@ -90,7 +90,7 @@
 
         def fits(candidate: Candidate) -> bool:
             there = self.place_of(candidate.name)
-            return there == place or seats[there] < most or not self.requirements.places
+            return there == place or seats[there] < most
 
         def preference(candidate: Candidate) -> tuple[bool, bool, int, str]:
             elsewhere = self.place_of(candidate.name) != place
@@ -150,6 +150,5 @@
     while seating.free and len(members) < min(requirements.least, MOST_SEATS):
         seats = seating.seats_by_place()
         seating.seat(min(seating.free, key=lambda one: (seating.crowd(one, seats), one.name)))
-    if requirements.places:
-        seating.spread_out()
+    seating.spread_out()
     return members
--- a/embersill/edge/roll.py
+++ b/embersill/edge/roll.py
@@ -72,6 +72,12 @@
         members = self.roster.members if self.roster is not None else {}
         return [name for name in members if name in self.linked or name == self.me.name]
 
+    @property
+    def on_its_own(self) -> bool:
+        """True where no more than half of the members are linked, this one among them; also without any."""
+        members = self.roster.members if self.roster is not None else {}
+        return 2 * len(self.core) <= len(members)
+
     def targets(self) -> list[str]:
         """IP numbers to hold links to, as far as there is none: the core's members, and the seeds."""
         there = {hello.ip for hello in self.linked.values()}
@@ -122,8 +128,8 @@
             if now - since > DROP_AFTER:
                 del self.away[name], self.seen[name]
         if self.roster is not None and self.me.name in self.roster.members:
-            if 2 * len(self.core) <= len(self.roster.members):
-                # on its own it would take itself for all there are, and each quota for its own
+            if self.on_its_own:
+                # it would take itself for all there are, and each quota for its own
                 self.floor_until = now + LINKED_WITHIN
             self.count = max(len(self.seen) + 1, self.floor if now < self.floor_until else 0)
             if self.count != self.told:
--- a/embersill/lab/edge/days.py
+++ b/embersill/lab/edge/days.py
@@ -17,7 +17,7 @@
 
 import tomli_w
 
-from embersill.lab.edge.troubles import FAULTS, PLANNED, Trouble, known
+from embersill.lab.edge.troubles import EARLIEST, FAULTS, LATEST, PLANNED, Trouble, known, moment
 
 Troubles = tuple[list[Trouble], list[Trouble]]  # planned work, and faults
 TEMPLATE = "trouble"  # the slot of the day whose traffic and marks are taken
@@ -45,11 +45,6 @@
 )
 
 
-def moment(chance: random.Random, earliest: float, latest: float) -> float:
-    """Seconds from the start of traffic."""
-    return round(chance.uniform(earliest, latest), 2)
-
-
 def changes(chance: random.Random, count: int, latest: float = 26.0) -> list[Trouble]:
     """Changes of the configuration spread over the day."""
     return [
@@ -194,7 +189,7 @@
     faults = [chance.choice(kinds).draw(chance) for _ in range(chance.randrange(3, 7))]
     plan = [chance.choice(planned).draw(chance) for _ in range(chance.randrange(2, 6))]
     again = chance.choice(faults)
-    faults.append({**again, "at": moment(chance, 1.0, 24.0)})
+    faults.append({**again, "at": moment(chance, EARLIEST, LATEST)})
     return [*plan, *changes(chance, 3)], faults
 
 
--- a/embersill/lab/edge/troubles.py
+++ b/embersill/lab/edge/troubles.py
@@ -15,6 +15,11 @@
 LASTS = (1.5, 3.0, 6.0, 12.0)
 
 
+def moment(chance: random.Random, earliest: float, latest: float) -> float:
+    """Seconds from the start of traffic."""
+    return round(chance.uniform(earliest, latest), 2)
+
+
 @dataclass(frozen=True, slots=True)
 class Kind:
     """One kind of trouble, and what a drawn one of it may look like."""
@@ -29,7 +34,7 @@
 
     def draw(self, chance: random.Random) -> Trouble:
         """One trouble of this kind at a drawn moment."""
-        trouble: Trouble = {"kind": self.name, "at": round(chance.uniform(EARLIEST, LATEST), 2)}
+        trouble: Trouble = {"kind": self.name, "at": moment(chance, EARLIEST, LATEST)}
         trouble |= self.fields
         how = chance.choice(self.variants)
         if how:
--- a/tests/edge/test_fences.py
+++ b/tests/edge/test_fences.py
@@ -70,7 +70,7 @@
         "late = [one for one in self.early if now >= one.until]", "late: list[Early] = []")),
     ("test_system.py::test_nobody_serves_an_unvouched_configuration_and_one_on_its_own_counts_all", Fence(
         "own-count", "embersill.edge.roll", "a core machine on its own takes itself for all there are",
-        "if 2 * len(self.core) <= len(self.roster.members):", "if False:")),
+        "if self.on_its_own:", "if False:")),
     ("test_quotas.py::test_a_tenant_that_was_idle_and_presses_has_one_burst_and_not_two", Fence(
         "one-burst", SUMS, "idle gateways' banks and the reserve hold the burst twice",
         "max(free - even * idle, 0.0)", "free")),
@@ -147,7 +147,7 @@
         "expected = min(max(before + max(drift, 0.0), SLACK)", "expected = min(max(before, SLACK)")),
     ("test_system.py::test_nobody_judges_backends_that_call_a_member_which_the_core_can_not_hear", Fence(
         "own-judgement", CELL, "a member that is cut off takes others' backends for lost",
-        "if 2 * len(self.roll.core) <= len(members):", "if False:",
+        "if self.roll.on_its_own:", "if False:",
         ((CELL, "if now - away.get(one.keeper, now) >= ADOPT_AFTER]", "if True]"),))),
     (GONE_BACK, Fence(
         "own-silence", CELL, "a member that is cut off takes for lost what it hears no more",
