--- a/embersill/lab/edge/control.py
+++ b/embersill/lab/edge/control.py
@@ -165,6 +165,24 @@
 # 2. orders
 
 
+def order_of(body: dict[str, Any], began: float, ended: float, status: int) -> Order:
+    """An order's call in a history; `status`: nought where no answer was heard."""
+    if status == 200:
+        outcome = Outcome.TAKEN
+    else:
+        outcome = Outcome.REFUSED if status in REFUSALS else Outcome.UNCLEAR
+    version, based_on = (int(body[name], 16) for name in ("version", "based_on_version"))
+    return Order(version, based_on, digest("PUT", body), began, ended, outcome)
+
+
+def read_of(heard: list[Verdict], began: float, ended: float) -> Read | None:
+    """A read's call in a history; None where it was not answered with a version."""
+    version = read_version(heard[0].body.get("version")) if heard else None
+    if not heard or heard[0].status != 200 or version is None:
+        return None
+    return Read(version, began, ended)
+
+
 def raced_orders(seed: int) -> Report:
     """Eight orders at a time with lost answers and retries; members killed, cut and wiped."""
     report, fleet = Report(), founded(seed, 3, 2)
@@ -181,29 +199,13 @@
             if heard or now - at > 1.0:
                 sent.remove((body, at, heard))
                 status = heard[0].status if heard and chance.random() > 0.2 else 0  # some answers are lost
-                outcome = (
-                    Outcome.TAKEN
-                    if status == 200
-                    else Outcome.REFUSED
-                    if status in REFUSALS
-                    else Outcome.UNCLEAR
-                )
-                orders.append(
-                    Order(
-                        int(body["version"], 16),
-                        int(body["based_on_version"], 16),
-                        digest("PUT", body),
-                        at,
-                        now,
-                        outcome,
-                    )
-                )
+                orders.append(order_of(body, at, now, status))
         for at, heard in list(asked):
             if heard:
                 asked.remove((at, heard))
-                version = read_version(heard[0].body.get("version"))
-                if heard[0].status == 200 and version is not None:
-                    reads.append(Read(version, at, now))
+                read = read_of(heard, at, now)
+                if read is not None:
+                    reads.append(read)
 
     bodies: list[dict[str, Any]] = []
     for turn in range(60):
--- a/embersill/lab/edge/worst_days.py
+++ b/embersill/lab/edge/worst_days.py
@@ -13,13 +13,13 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
-from embersill.edge.document import digest, read_version
 from embersill.edge.verdict import Verdict
-from embersill.lab.edge.control import CATCH_UP, REFUSALS, Report, founded, node_of, remove
+from embersill.lab.edge.control import CATCH_UP, Report, founded, node_of, order_of, read_of, remove
 from embersill.lab.edge.fleet import Fleet, Machine, change
-from embersill.world.version_history import Order, Outcome, Read, violations
+from embersill.world.version_history import Outcome, Read, violations
 
 CONTACT_WINDOW = 3.0  # seconds without a change of the core after which it is settled
 ACKNOWLEDGED_WITHIN = 5.0  # seconds for an order in a settled time
@@ -58,9 +58,8 @@
 
     def __init__(self, fleet: Fleet, chance: random.Random) -> None:
         self.fleet, self.chance = fleet, chance
-        first = Order(1, 0, digest("PUT", change(1, 0)), 0.0, fleet.kernel.now, Outcome.TAKEN)
-        self.orders, self.reads = [first], list[Read]()
         self.sent = [change(1, 0)]
+        self.orders, self.reads = [order_of(self.sent[0], 0.0, fleet.kernel.now, 200)], list[Read]()
         self.calls: list[Call] = []
         self.wanted: Wanted | None = None
         self.newest = 1
@@ -97,20 +96,14 @@
 
     def ended(self, call: Call) -> None:
         """Notes how a call ended; some answers are lost on their way."""
-        verdict = call.heard[0] if call.heard else None
-        if verdict is None or self.chance.random() < LOST_ANSWERS:
-            outcome = Outcome.UNCLEAR
-        elif verdict.status == 200:
-            outcome = Outcome.TAKEN
-        else:
-            outcome = Outcome.REFUSED if verdict.status in REFUSALS else Outcome.UNCLEAR
-        version, based_on = (int(call.body[name], 16) for name in ("version", "based_on_version"))
-        now, mark = self.fleet.kernel.now, digest("PUT", call.body)
-        self.orders.append(Order(version, based_on, mark, call.began, now, outcome))
-        if outcome is Outcome.TAKEN:
-            self.newest = max(self.newest, version)
-            self.on_taken(version)
-        if self.wanted is not None and self.wanted.call is call and outcome is not Outcome.UNCLEAR:
+        heard = bool(call.heard) and self.chance.random() >= LOST_ANSWERS
+        status = call.heard[0].status if heard else 0
+        order = order_of(call.body, call.began, self.fleet.kernel.now, status)
+        self.orders.append(order)
+        if order.outcome is Outcome.TAKEN:
+            self.newest = max(self.newest, order.version)
+            self.on_taken(order.version)
+        if self.wanted is not None and self.wanted.call is call and order.outcome is not Outcome.UNCLEAR:
             self.wanted = None
 
     def want(self) -> None:
@@ -152,31 +145,41 @@
 
     def was_read(self, call: Call) -> None:
         """Notes what a read was told."""
-        verdict = call.heard[0] if call.heard else None
-        version = read_version(verdict.body.get("version")) if verdict is not None else None
-        if verdict is not None and verdict.status == 200 and version is not None:
-            self.reads.append(Read(version, call.began, self.fleet.kernel.now))
+        read = read_of(call.heard, call.began, self.fleet.kernel.now)
+        if read is not None:
+            self.reads.append(read)
 
 
-class Day:
-    """One day: its cluster, its troubles, and what was wrong."""
+class Troubles:
+    """Brings troubles to a cluster, and keeps account of who counts as lost."""
 
-    def __init__(self, seed: int, cores: int, borne: int) -> None:
-        self.report, self.borne = Report(), borne
-        self.fleet = fleet = founded(seed, cores, 2)
-        fleet.require(borne)
+    def __init__(self, fleet: Fleet, borne: int) -> None:
+        """`borne`: members that may be lost at once."""
+        self.fleet, self.borne = fleet, borne
         self.chance = fleet.kernel.stream("day")
-        self.operators = Operators(fleet, fleet.kernel.stream("operators"))
-        self.operators.on_taken, self.operators.on_late = self.taken, self.late
         self.lost: dict[str, float] = {}  # members that count as lost, by name, and until when
         self.disturbed = {machine.name: 0.0 for machine in fleet.machines}  # when each was troubled last
         self.changed_at = fleet.kernel.now  # when the core was troubled last
         self.successors = 0  # that are on their way
+        self.member_troubles: tuple[Callable[[Machine], None], ...] = (
+            self.kill,
+            self.wipe,
+            self.cut,
+            self.mute,
+            self.stand_still,
+            self.slow,
+            self.fill_disk,
+            self.replace,
+            self.replace_as_planned,
+        )
         self.troubles: tuple[Callable[[], None], ...] = (
-            self.kill, self.wipe, self.cut, self.mute, self.stand_still, self.slow, self.fill_disk,
-            self.replace, self.replace_as_planned, self.kill_all, self.kill_gateway, self.leave_behind,
-            self.strike_after_answer, self.strike_after_answer,
-        )  # fmt: skip
+            *(partial(self.to_a_member, trouble) for trouble in self.member_troubles),
+            self.kill_all,
+            self.kill_gateway,
+            self.leave_behind,
+            self.strike_after_answer,
+            self.strike_after_answer,
+        )
         self.strikes = False  # the next order that is acknowledged is followed by a loss at once
 
     @property
@@ -230,25 +233,24 @@
 
     # troubles
 
-    def kill(self) -> None:
-        """A member's process is killed, and starts again."""
+    def to_a_member(self, trouble: Callable[[Machine], None]) -> None:
+        """Brings a trouble to a member, if one may be lost now."""
         machine = self.victim()
         if machine is not None:
-            machine.kill()
-            self.lose(machine, self.chance.choice(LASTS), machine.start)
+            trouble(machine)
 
-    def wipe(self) -> None:
+    def kill(self, machine: Machine) -> None:
+        """A member's process is killed, and starts again."""
+        machine.kill()
+        self.lose(machine, self.chance.choice(LASTS), machine.start)
+
+    def wipe(self, machine: Machine) -> None:
         """A member comes back with an empty disk."""
-        machine = self.victim()
-        if machine is not None:
-            machine.wipe()
-            self.lose(machine, self.chance.choice(LASTS), machine.start)
+        machine.wipe()
+        self.lose(machine, self.chance.choice(LASTS), machine.start)
 
-    def cut(self) -> None:
+    def cut(self, machine: Machine) -> None:
         """A member is cut off from all, at times with a gateway, at times started again meanwhile."""
-        machine = self.victim()
-        if machine is None:
-            return
         names = {machine.name}
         if self.chance.random() < 0.4:
             near = self.chance.choice([one for one in self.fleet.machines if not one.core])
@@ -267,43 +269,35 @@
 
         self.lose(machine, self.chance.choice(LASTS), heal)
 
-    def mute(self) -> None:
+    def mute(self, machine: Machine) -> None:
         """A member hears the others and is not heard."""
-        machine = self.victim()
-        if machine is not None:
-            self.fleet.muted.add(machine.name)
-            self.lose(machine, self.chance.choice(LASTS), lambda: self.fleet.muted.discard(machine.name))
+        self.fleet.muted.add(machine.name)
+        self.lose(machine, self.chance.choice(LASTS), lambda: self.fleet.muted.discard(machine.name))
 
-    def stand_still(self) -> None:
+    def stand_still(self, machine: Machine) -> None:
         """A member's process stands still."""
-        machine = self.victim()
-        if machine is not None:
-            seconds = self.chance.choice(LASTS)
-            machine.process.pause(seconds)
-            self.lose(machine, seconds, lambda: None)
+        seconds = self.chance.choice(LASTS)
+        machine.process.pause(seconds)
+        self.lose(machine, seconds, lambda: None)
 
-    def slow(self) -> None:
+    def slow(self, machine: Machine) -> None:
         """What a member sends and is sent takes longer."""
-        machine = self.victim()
-        if machine is not None:
-            slowed = self.fleet.slowed
-            slowed[machine.name] = self.chance.uniform(0.05, 0.4)
+        slowed = self.fleet.slowed
+        slowed[machine.name] = self.chance.uniform(0.05, 0.4)
 
-            def heal() -> None:
-                slowed.pop(machine.name, None)
+        def heal() -> None:
+            slowed.pop(machine.name, None)
 
-            self.lose(machine, self.chance.choice(LASTS), heal)
+        self.lose(machine, self.chance.choice(LASTS), heal)
 
-    def fill_disk(self) -> None:
+    def fill_disk(self, machine: Machine) -> None:
         """A member's disk refuses every write."""
-        machine = self.victim()
-        if machine is not None:
-            machine.disk_refuses = True
+        machine.disk_refuses = True
 
-            def empty() -> None:
-                machine.disk_refuses = False
+        def empty() -> None:
+            machine.disk_refuses = False
 
-            self.lose(machine, self.chance.choice(LASTS), empty)
+        self.lose(machine, self.chance.choice(LASTS), empty)
 
     def succeed(self, machine: Machine) -> None:
         """An empty machine comes in the place of one that is removed."""
@@ -313,22 +307,17 @@
         self.lost[new.name] = self.now + CATCH_UP
         self.disturb(new)
 
-    def replace(self) -> None:
+    def replace(self, machine: Machine) -> None:
         """A member is gone for good, and an empty machine comes at another address."""
-        machine = self.victim()
-        if machine is not None:
-            self.successors += 1
-            if self.chance.random() < 0.5:
-                machine.wipe()
-            remove(self.fleet, machine)
-            self.disturb(machine)
-            self.fleet.kernel.at(self.now + self.chance.choice((0.3, 1.0, 4.0)), self.succeed, machine)
+        self.successors += 1
+        if self.chance.random() < 0.5:
+            machine.wipe()
+        remove(self.fleet, machine)
+        self.disturb(machine)
+        self.fleet.kernel.at(self.now + self.chance.choice((0.3, 1.0, 4.0)), self.succeed, machine)
 
-    def replace_as_planned(self) -> None:
+    def replace_as_planned(self, machine: Machine) -> None:
         """The successor comes first; then the member is told to stop, and goes once it may."""
-        machine = self.victim()
-        if machine is None:
-            return
         self.successors += 1
         self.succeed(machine)
         self.lost[machine.name] = FOR_EVER  # two count until it has gone
@@ -371,7 +360,7 @@
         if self.chance.random() < 0.6:
             self.kill_all()
         else:
-            self.wipe()
+            self.to_a_member(self.wipe)
 
     def leave_behind(self) -> None:
         """One member misses changes; then another loses its disk, and these two are alone for a while."""
@@ -415,7 +404,16 @@
 
             self.fleet.kernel.at(self.now + self.chance.choice((0.3, 2.0)), back)
 
-    # what holds in calm times
+
+class Day(Troubles):
+    """One day: its cluster, its troubles, its operators, and what was wrong."""
+
+    def __init__(self, seed: int, cores: int, borne: int) -> None:
+        super().__init__(founded(seed, cores, 2), borne)
+        self.fleet.require(borne)
+        self.report = Report()
+        self.operators = Operators(self.fleet, self.fleet.kernel.stream("operators"))
+        self.operators.on_taken, self.operators.on_late = self.taken, self.late
 
     def late(self, wanted: Wanted) -> None:
         """An order had no acknowledgement in its time."""
--- a/tests/edge/test_client_states.py
+++ b/tests/edge/test_client_states.py
@@ -24,21 +24,12 @@
 
 
 class SlowBackend(Backend):
-    """Takes its time where the path says so; each answer's body is the id of its request."""
-
-    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Serves one connection."""
-        try:
-            while True:
-                first, *lines = (await reader.readuntil(b"\r\n\r\n")).strip().split(b"\r\n")
-                headers = {n.lower(): v for n, _, v in (line.partition(b": ") for line in lines)}
-                await reader.readexactly(int(headers.get(b"content-length", b"0")))
-                self.seen.append(headers)
-                if b"/slow" in first:
-                    await asyncio.sleep(SLOW)
-                writer.write(answer(headers, body=headers[b"x-attempt-id"]))
-        except (asyncio.IncompleteReadError, ConnectionError):
-            writer.close()
+    """Takes its time where the path says so."""
+
+    async def work(self, path: bytes) -> None:
+        """Waits, for some paths."""
+        if b"/slow" in path:
+            await asyncio.sleep(SLOW)
 
 
 def request(
@@ -228,10 +219,8 @@
 
 @pytest.mark.parametrize("behave", BEHAVIOURS, ids=[one.__name__ for one in BEHAVIOURS])
 def test_each_client_is_told_its_own_and_what_must_not_run_twice_does_not(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, behave: Behaviour
+    tmp_path: Path, behave: Behaviour
 ) -> None:
-    monkeypatch.setattr("tests.edge.test_sockets.Backend", SlowBackend)
-
     async def then(ports: list[int], backend: Backend, systems: list[System]) -> None:
         client = Client(*await asyncio.open_connection(HOST, ports[0]))
         await behave(client, backend)
@@ -244,4 +233,4 @@
         client.writer.close()
         following.writer.close()
 
-    play(tmp_path, lambda path, headers: answer(headers), then)
+    play(tmp_path, lambda path, headers: answer(headers, body=headers[b"x-attempt-id"]), then, SlowBackend)
--- a/tests/edge/test_sockets.py
+++ b/tests/edge/test_sockets.py
@@ -75,13 +75,18 @@
         server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
         self.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
 
+    async def work(self, path: bytes) -> None:
+        """What it does before it answers: nothing that takes time."""
+
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while head := await reader.readuntil(b"\r\n\r\n"):
             first, *lines = head.strip().split(b"\r\n")
             headers = {n.lower(): v for n, _, v in (one.partition(b": ") for one in lines)}
             await reader.readexactly(int(headers.get(b"content-length", b"0")))
             self.seen.append(headers)
-            answer = self.answers(first.split(b" ")[1], headers)
+            path = first.split(b" ")[1]
+            await self.work(path)
+            answer = self.answers(path, headers)
             if answer is None:
                 return writer.transport.abort()
             writer.write(answer)
@@ -99,7 +104,8 @@
             await asyncio.sleep(0.01)
 
 
-async def with_system(folder: Path, answers: Answers, then: Callable[..., Awaitable[None]]) -> None:
+async def with_system(folder: Path, answers: Answers, then: Callable[..., Awaitable[None]],
+                      kind: type[Backend] = Backend) -> None:
     """Three gateways with disks and one without, a configuration in force, and a backend that is known."""
     ports, stores, systems = free_ports(), [], []
     for number in (1, 2, 3, 4):
@@ -112,7 +118,7 @@
     try:
         for system in systems:
             await system.start()
-        backend = Backend(answers)
+        backend = kind(answers)
         await backend.start()
         await until(lambda: sum(system.node.agreement.votes for system in systems) == 3)
         control = ports[2]
@@ -139,8 +145,9 @@
                 store.close()
 
 
-def play(folder: Path, answers: Answers, then: Callable[..., Awaitable[None]]) -> None:
-    asyncio.run(with_system(folder, answers, then))
+def play(folder: Path, answers: Answers, then: Callable[..., Awaitable[None]],
+         kind: type[Backend] = Backend) -> None:
+    asyncio.run(with_system(folder, answers, then, kind))
 
 
 def try_of(number: int, path: str = "/p0/x", key: str = "k", method: str = "GET") -> str:
