Read again: tests and scenarios found their clusters in one place

lab.edge.control.founded stood in tests/edge/test_system.py too, there with a look at the first order's answer, which the one that is left has. Behaviour as before.

--- a/embersill/lab/edge/control.py
+++ b/embersill/lab/edge/control.py
@@ -58,8 +58,9 @@
     """A cluster with version 1 in force."""
     fleet = Fleet(seed, cores, others)
     fleet.run(3.0)
-    fleet.machines[-1].call("PUT", change(1, 0))
+    heard = fleet.machines[-1].call("PUT", change(1, 0))
     fleet.run(1.0)
+    assert [verdict.status for verdict in heard] == [200]
     fleet.settled()
     return fleet
 
--- a/tests/edge/test_lapses.py
+++ b/tests/edge/test_lapses.py
@@ -16,11 +16,12 @@
 from embersill.edge.figures import MOST_LABELS, Figures
 from embersill.edge.lapses import MOST_ORDERS, STOPPED, bound, ended, held, lapses_of, ordered, squeezed, told
 from embersill.edge.routes import Table
+from embersill.lab.edge.control import founded
 from embersill.lab.edge import plots
 from embersill.lab.edge.fleet import Fleet, change, document
 from embersill.lab.edge.town import Gateway, Town, with_tenants
 from tests.edge.test_parts import Asked, Driven
-from tests.edge.test_system import founded, until_taken
+from tests.edge.test_system import until_taken
 
 LADDER = [{"share": 0.5, "lasts_s": 2.0}, {"share": 0.2, "lasts_s": 2.0}, {"share": 0.1}]
 
--- a/tests/edge/test_system.py
+++ b/tests/edge/test_system.py
@@ -8,20 +8,10 @@
 import pytest
 
 from embersill.edge.verdict import Verdict
-from embersill.lab.edge.control import beat
+from embersill.lab.edge.control import beat, founded
 from embersill.lab.edge.fleet import Fleet, Machine, change
 
 
-def founded(seed: int, cores: int = 3, others: int = 2) -> Fleet:
-    fleet = Fleet(seed, cores, others)
-    fleet.run(3.0)
-    heard = fleet.machines[-1].call("PUT", change(1, 0))
-    fleet.run(1.0)
-    assert [verdict.status for verdict in heard] == [200]
-    fleet.settled()
-    return fleet
-
-
 def until_taken(fleet: Fleet, body: dict[str, object], tries: int = 30, what: str = "PUT") -> int:
     """An operator who goes from gateway to gateway until the change has its clear answer; its status."""
     for number in range(tries):
