Tests of the council wait for the first booking, and copy a disk while nothing writes to it

One swallowed an owner's way to billing before any call of that owner had been booked, so only its successor had ever written (owners {2}, where two are wanted); wait_writer waits for the first booking. The other copied a planner's folder while the planner renamed council.new, which copytree then missed; Deployment.copy_state keeps the planner from running meanwhile, also where a second process gets a copy of the disk. What the tests assert is as before.

--- a/embersill/rig/deployment.py
+++ b/embersill/rig/deployment.py
@@ -194,6 +194,15 @@
         """Where a planner keeps what the council has it remember."""
         return Path(self.folder.name) / f"state-{name}"
 
+    async def copy_state(self, name: str, target: Path) -> None:
+        """Copies a planner's state as its disk has it at one moment; nothing is copied if there is none.
+
+        The planner stands still meanwhile: its files are renamed while it runs, and a copy would miss some.
+        """
+        async with self.members[name].held():
+            if self.state_of(name).exists():
+                shutil.copytree(self.state_of(name), target)
+
     async def add(self, name: str, role: str, port: int, config: str = "") -> None:
         """A further process, not started yet; `config` names its files where the name is taken."""
         folder = Path(self.folder.name)
@@ -229,8 +238,7 @@
         config = f"{name}+{sum(member.startswith(f'{name}+') for member in self.members) + 1}"
         folder = Path(self.folder.name)
         state = folder / f"state-{config}"
-        if self.state_of(name).exists():
-            shutil.copytree(self.state_of(name), state)
+        await self.copy_state(name, state)
         text = self.operator_file(name).read_text()
         link, council = free_ports(2)
         text = text.replace(f'{name} = "{HOST}:{self.ports[name]}"', f'{name} = "{HOST}:{link}"')
--- a/embersill/rig/ownership.py
+++ b/embersill/rig/ownership.py
@@ -73,6 +73,18 @@
     return found
 
 
+async def wait_writer(deployment: Deployment, within: float = 30.0) -> str:
+    """The exporter, once billing has taken a call under its newest number; TimeoutError if none comes."""
+    billing = deployment.billing
+    async with asyncio.timeout(within):
+        while True:
+            owner = owner_of(deployment, "export")
+            writer, _, _ = billing.owners.get(billing.highest, "").partition("/")
+            if owner and writer == owner:
+                return owner
+            await asyncio.sleep(LOOK_EVERY)
+
+
 async def wait_booked(deployment: Deployment, within: float = 30.0) -> None:
     """Until all planners' use is booked, and they know it."""
     async with asyncio.timeout(within):
--- a/embersill/rig/processes.py
+++ b/embersill/rig/processes.py
@@ -9,7 +9,7 @@
 import random
 import signal
 import socket
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 from embersill.rig.standins import HOST
@@ -17,6 +17,8 @@
 TICKS = os.sysconf("SC_CLK_TCK")
 MOST_LOG = 200  # lines of a process's log that are kept
 LISTENING = (10_000, 32_768)  # ports that processes of a deployment are given
+HALT_POLL_SECONDS = 0.001  # how often a halted process is looked at until it stands still
+HALTED_STATES = ("T", "Z", "X")  # stopped by a signal, ended, gone: see proc(5)
 STARVED_EVERY = 0.1  # seconds: a starved process runs for a part of each of these
 
 
@@ -89,6 +91,21 @@
             await self.stand(STARVED_EVERY * (1.0 - share))
             await asyncio.sleep(STARVED_EVERY * share)
 
+    @contextlib.asynccontextmanager
+    async def held(self) -> AsyncIterator[None]:
+        """Keeps the process from running: within the block none of its files change."""
+        if not self.running or self.stopped:
+            yield
+            return
+        assert self.process is not None
+        self.halt()
+        try:
+            while self.running and process_state(self.process.pid) not in HALTED_STATES:
+                await asyncio.sleep(HALT_POLL_SECONDS)
+            yield
+        finally:
+            self.go_on()
+
     def go_on(self) -> None:
         self.stopped = False
         with contextlib.suppress(ProcessLookupError):
@@ -114,6 +131,15 @@
         return sum(processor_time(self.process.pid))
 
 
+def process_state(pid: int) -> str:
+    """The state letter of a process as in proc(5); `X` for one that is gone."""
+    try:
+        with open(f"/proc/{pid}/stat") as file:
+            return file.read().rpartition(")")[2].split()[0]
+    except (FileNotFoundError, ProcessLookupError):
+        return "X"
+
+
 def processor_time(pid: int) -> tuple[float, float]:
     """Seconds of processor time of a process so far: user and system."""
     with open(f"/proc/{pid}/stat") as file:
--- a/tests/council/test_processes.py
+++ b/tests/council/test_processes.py
@@ -11,7 +11,7 @@
 
 from embersill.rig.billing import BillingBehaviour
 from embersill.rig.deployment import Deployment, Shape
-from embersill.rig.ownership import judge_billing, listen, owner_of, wait_booked, wait_owner
+from embersill.rig.ownership import judge_billing, listen, owner_of, wait_booked, wait_owner, wait_writer
 from embersill.rig.playing import COUNCIL, RULES
 from embersill.rig.relay import Direction, Trouble, Verb
 from embersill.rig.standins import Behaviour
@@ -63,7 +63,7 @@
 def test_an_owner_that_stood_still_between_its_check_and_its_write_is_refused() -> None:
     async def test(deployment: Deployment) -> None:
         for _ in range(6):
-            owner = await wait_owner(deployment, "export")
+            owner = await wait_writer(deployment)
             way = deployment.ways[f"{owner}>billing"]
             number = await swallowed(deployment, way.name, Direction.UP)
             await asyncio.sleep(0.5)  # its next append is on its way, and does not come
@@ -199,7 +199,7 @@
 def test_all_members_are_killed_at_once_and_three_of_five_disks_are_not_what_they_were() -> None:
     async def test(deployment: Deployment) -> None:
         old = deployment.state_of("p1").with_name("yesterday")
-        shutil.copytree(deployment.state_of("p1"), old)
+        await deployment.copy_state("p1", old)
         await asyncio.sleep(1.5)
         number = max(deployment.billing.owners, default=0)
         await asyncio.gather(*(member.kill() for member in deployment.planners()))
