The seeds elect the first epoch: a founder lost in its first second no longer stops the start

Cause: the seed with the lowest address founded alone, once in its life and only with first_start true. Cut off at the start it founded with itself alone.

Change: edge/election, single-decree Paxos among the seeds as told at the first start. A seed's vote is written with its disk's nonce before it links to anyone, and each answer follows its save, so a restarted seed goes on as the same acceptor. Whichever seed is linked and lowest proposes; a majority of them decides. A seed without a disk votes in its first life only.

Ruled out: letting seeds that have forgotten vote again after a while. Newcomers that name one another as seeds could then found a second system.

--- a/embersill/edge/founding.py
+++ b/embersill/edge/founding.py
@@ -1,8 +1,8 @@
 """The first epoch, and the next ones: who becomes a member, decided by one gateway at a time. No I/O.
 
-At the very first start all gateways are told the same seeds, and these are up. The one with the lowest
-address founds, once in its life, when no further core machine has shown up for a while. From then on the
-members change themselves (`membership`).
+At the very first start all gateways are told the same seeds. These elect the first roster (`election`): the
+one with the lowest address that is linked proposes it, when no further core machine has shown up for a while.
+From then on the members change themselves (`membership`).
 """
 
 from __future__ import annotations
@@ -13,13 +13,15 @@
 
 from embersill.edge.agreement import Agreement
 from embersill.edge.document import EMPTY
+from embersill.edge.election import Election
 from embersill.edge.membership import MOST_SEATS, Candidate, Requirements, next_members
-from embersill.edge.records import Roster, Seat
+from embersill.edge.records import Effects, Roster, Seat, Vote
 from embersill.edge.roll import Hello, Roll
 
 SETTLED = 1.0  # seconds without a further core machine after which the first epoch is founded
 AT_LATEST = 4.0  # seconds after which it is founded with those that are there
 RESEAT_EVERY = 1.0  # seconds between attempts
+ELECT_EVERY = 0.5  # seconds between attempts at the first epoch, times the proposer's place among the seeds
 STAGGER = 0.3  # seconds by which a member waits for each that goes before it, by name
 
 
@@ -58,7 +60,14 @@
 class Founding:
     """One gateway's part in the first epoch and in changes of membership."""
 
-    def __init__(self, me: Hello, roll: Roll, agreement: Agreement, now: float) -> None:
+    def __init__(
+        self, me: Hello, roll: Roll, agreement: Agreement, vote: Vote | None, effects: Effects, now: float
+    ) -> None:
+        """`vote`: this gateway's in the election of the first epoch, if it has one."""
+        self.election = Election(me.ip, me.boot, vote, effects, self.elected)
+        self.election.roster = self.first_roster
+        self.election.linked = lambda: list(roll.linked)
+        self.election.address_of = lambda name: roll.linked[name].ip if name in roll.linked else None
         self.requirements = Requirements()
         self.stopping = False  # this gateway was told to stop
         self.up_to_date: Callable[[str], bool] = lambda name: True  # whether a linked gateway has the state
@@ -78,22 +87,38 @@
             self.reseat(now)
 
     def begin(self, now: float) -> None:
-        """Founds, if this is the one to do it."""
-        seeds = [*self.roll.seeds, self.me.ip]
-        if not self.me.first or self.me.ip != min(seeds, key=order) or not self.me.seed:
+        """Proposes the first roster, if this is the one to do it."""
+        if not self.election.votes or now < self.again_at or self.me.ip != self.proposer():
             return
-        cores = [hello for hello in self.roll.cores() if hello.first]
+        cores = self.founders()
         if len(cores) != self.found:
             self.found, self.last = len(cores), now
         if not cores or now - self.born < SETTLED:
             return
-        if (
-            now - self.last >= SETTLED
-            and len(self.roll.linked) >= len(self.roll.seeds)
-            or (now - self.born >= AT_LATEST)
-        ):
-            members = {hello.name: Seat(hello.ip, hello.store) for hello in spread(cores, self.requirements)}
-            self.agreement.begin(Roster(1, members), EMPTY)
+        all_there = len(self.roll.linked) >= len(self.roll.seeds)
+        if now - self.last >= SETTLED and all_there or now - self.born >= AT_LATEST:
+            place = sorted(self.election.seeds, key=order).index(self.me.ip) + 1
+            self.again_at = now + ELECT_EVERY * place
+            self.election.attempt()
+
+    def proposer(self) -> str:
+        """The IP number of the seed whose turn it is: the lowest of those that are linked and vote."""
+        linked = [hello.ip for hello in self.roll.linked.values() if hello.elector]
+        return min([self.me.ip, *linked], key=order)
+
+    def founders(self) -> list[Hello]:
+        """Core machines that could be the first members."""
+        return [hello for hello in self.roll.cores() if hello.epoch == 0]
+
+    def first_roster(self) -> Roster | None:
+        """The roster that this gateway would propose; None while it sees no core machine."""
+        chosen = spread(self.founders(), self.requirements)
+        return Roster(1, {hello.name: Seat(hello.ip, hello.store) for hello in chosen}) if chosen else None
+
+    def elected(self, roster: Roster) -> None:
+        """The seeds have decided on the first roster."""
+        if self.agreement.roster is None:
+            self.agreement.begin(roster, EMPTY)
             self.send_all()
 
     def send_all(self) -> None:
--- a/embersill/edge/node.py
+++ b/embersill/edge/node.py
@@ -20,6 +20,7 @@
 from embersill.edge.demand import DEMAND, Demand
 from embersill.edge.distribution import Distribution
 from embersill.edge.document import EMPTY, State, read_document, stand
+from embersill.edge.election import KIND as ELECTION
 from embersill.edge.figures import Figures
 from embersill.edge.founding import Founding
 from embersill.edge.policy import AS_BUILT, Policy
@@ -56,6 +57,8 @@
         now: float,
         beat_every: float = 1.0,
     ) -> None:
+        vote = stored.vote if stored.begun is None else None
+        hello = msgspec.structs.replace(hello, elector=vote is not None)
         self.me, self.now = hello, now
         self.effects = Effects()
         self.roll = Roll(hello, seeds, self.effects, now)
@@ -68,7 +71,7 @@
         self.cell.speaks = self.agreement.speaks
         self.cell.departures.confirm = self.agreement.confirm
         self.loads = Loads(hello, self.roll, self.effects)
-        self.founding = Founding(hello, self.roll, self.agreement, now)
+        self.founding = Founding(hello, self.roll, self.agreement, vote, self.effects, now)
         self.distribution = Distribution(
             self.roll, self.agreement, self.effects, lambda: self.state, lambda: self.now
         )
@@ -175,6 +178,7 @@
             "roster": lambda peer, told: self.agreement.begin(
                 msgspec.convert(told["roster"], Roster), told["base"]
             ),
+            ELECTION: lambda peer, told: self.founding.election.heard(peer, told["body"]),
             "version": self.distribution.heard,
             "fetch": lambda peer, told: self.distribution.hand_on(peer),
             "document": lambda peer, told: self.adopt(msgspec.convert(told["state"], State)),
--- a/embersill/edge/program.py
+++ b/embersill/edge/program.py
@@ -15,7 +15,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from embersill.edge.records import Save, Stored
+from embersill.edge.records import Save, Stored, Vote
 from embersill.edge.deciding import EdgeGateway
 from embersill.edge.dialect import EdgeDialect
 from embersill.edge.doors import ControlDesk, FrontDesk, ReadyDesk
@@ -75,8 +75,6 @@
             core,
             stored.store,
             f"{self.chance.getrandbits(48):012x}",
-            first=local["first_start"],
-            seed=local["ip_address"] in seeds,
         )
         self.node = Node(hello, seeds, stored, self.chance, now, local.get("heartbeat_interval_s", 1.0))
         self.node.founding.requirements = requirements_of(local)
@@ -301,6 +299,12 @@
     return Requirements(max(2 * borne.get("machine_failures", 0) + 1, 3), places)
 
 
+def first_vote(local: Local) -> Vote | None:
+    """A seed's vote at the very first start of the system, before it has answered anything."""
+    seeds = tuple(read_address(text)[0] for text in local["seed_nodes"])
+    return Vote(seeds) if local["first_start"] and local["ip_address"] in seeds else None
+
+
 def prepared(environment: dict[str, str]) -> Result[tuple[Local, Store | None, Stored], str]:
     """Settings and what the disk remembers, or one line on what is wrong."""
     read = read_local(environment)
@@ -308,16 +312,17 @@
         return Error(read.error)
     local = read.ok
     nonce = f"{random.SystemRandom().getrandbits(64):016x}"
-    folder = local.get("data_directory")
+    folder, vote = local.get("data_directory"), first_vote(local)
+    without = Stored(nonce, vote=vote)
     if not folder:
-        return Ok((local, None, Stored(nonce)))
+        return Ok((local, None, without))
     try:
         store = Store(Path(folder), local["limits"].get("disk_mb", 64.0))
     except Exception as error:
-        return Ok((local, do_without(f"{folder}: {error}"), Stored(nonce)))
-    begun = store.begin(lambda: nonce)
+        return Ok((local, do_without(f"{folder}: {error}"), without))
+    begun = store.begin(lambda: nonce, vote)
     if begun.is_error():
-        return Ok((local, do_without(begun.error), Stored(nonce)))
+        return Ok((local, do_without(begun.error), without))
     return Ok((local, store, begun.ok))
 
 
--- a/embersill/edge/records.py
+++ b/embersill/edge/records.py
@@ -49,6 +49,23 @@
     whole: Whole
 
 
+class VoteBallot(msgspec.Struct, frozen=True, order=True, array_like=True):
+    """A ballot of the election of the first epoch; no two attempts share one."""
+
+    round: int = 0
+    proposer: str = ""  # IP number
+    life: str = ""  # of the proposer's process
+
+
+class Vote(msgspec.Struct, frozen=True):
+    """On disk: what a seed has answered for in the election of the first epoch."""
+
+    seeds: tuple[str, ...]  # IP numbers, as told at the very first start
+    promised: VoteBallot = VoteBallot()
+    accepted: VoteBallot = VoteBallot()
+    roster: Roster | None = None  # accepted under that ballot
+
+
 class Stored(msgspec.Struct, frozen=True):
     """What a disk held at the start."""
 
@@ -58,6 +75,7 @@
     backends: bytes = b""  # the cell's last list, as it saved it
     gateways: int = 0  # how many there were
     state: State | None = None  # what was last in force here, once it was chosen
+    vote: Vote | None = None  # a seed's, of the first epoch
 
 
 @dataclass(slots=True)
--- a/embersill/edge/roll.py
+++ b/embersill/edge/roll.py
@@ -33,8 +33,7 @@
     epoch: int = 0
     version: int = 0
     orders: int = 0  # the number of the orders beside the configuration
-    first: bool = False  # the very first start of all
-    seed: bool = False  # it is one of the seeds that all were told
+    elector: bool = False  # a seed that votes on the members of the first epoch
     leaving: bool = False  # it was told to stop: another is to take its seat, if there is one
 
 
--- a/embersill/edge/store.py
+++ b/embersill/edge/store.py
@@ -22,7 +22,8 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from embersill.edge.records import Begun, Remembered, Save, Stored
+from embersill.edge.election import VOTE
+from embersill.edge.records import Begun, Remembered, Save, Stored, Vote
 from embersill.edge.document import State
 
 FORMAT = b"embersill-1"
@@ -73,6 +74,7 @@
                 found.get("backends", b""),
                 int(found.get("gateways", b"0")),
                 msgspec.msgpack.decode(found["state"], type=State) if "state" in found else None,
+                msgspec.json.decode(found[VOTE], type=Vote) if VOTE in found else None,
             )
         )
     except (msgspec.MsgspecError, KeyError, ValueError) as error:
@@ -139,12 +141,17 @@
         self.environment = self.open(create=False)
         self.unusable = False
 
-    def begin(self, fresh: Callable[[], str]) -> Result[Stored, str]:
-        """What the disk remembers; an empty one is named, with a nonce, before anything rests on it."""
+    def begin(self, fresh: Callable[[], str], vote: Vote | None = None) -> Result[Stored, str]:
+        """What the disk remembers; an empty one is named, with a nonce, before anything rests on it.
+
+        `vote`: written with the name, where this is a seed at the very first start of the system.
+        """
         read = read_values(self.environment, self.folder)
         if read.is_error() or read.ok:
             return read.bind(lambda found: stored_of(found, self.folder))
         found = {"format": FORMAT, "store": fresh().encode()}
+        if vote is not None:
+            found[VOTE] = msgspec.json.encode(vote)
         try:
             self.write(found)
         except (lmdb.Error, OSError) as error:
--- a/embersill/lab/edge/control_command.py
+++ b/embersill/lab/edge/control_command.py
@@ -24,6 +24,12 @@
     stood_still,
     wiped_caught_up,
 )
+from embersill.lab.edge.first_start import (
+    all_killed,
+    first_losses,
+    founder_gone,
+    founder_lost_as_elected,
+)
 from embersill.lab.edge.worst_days import worst_day, worst_day_of_five, worst_day_of_six
 
 POINTS: dict[str, tuple[Callable[[int], Report], ...]] = {
@@ -32,6 +38,7 @@
     "membership": (second_loss, second_loss_of_five, last_copy, refused_epoch),
     "catching_up": (caught_up, wiped_caught_up),
     "answers": (earlier_life, earlier_news),
+    "first_start": (first_losses, all_killed, founder_gone, founder_lost_as_elected),
     "drawn_days": (worst_day, worst_day_of_five, worst_day_of_six),
 }
 SLOW = {sent_again_late, caught_up, wiped_caught_up}  # hundreds of changes each: a tenth of the runs
--- a/embersill/lab/edge/control_fences.py
+++ b/embersill/lab/edge/control_fences.py
@@ -33,7 +33,9 @@
 
 CELL = "embersill.edge.cell"
 DISTRIBUTION = "embersill.edge.distribution"
+FIRST_START = "embersill.lab.edge.first_start"
 DEPARTURES, DOCUMENT = "embersill.edge.departures", "embersill.edge.document"
+ELECTION = "embersill.edge.election"
 HANDOVER, LEASE = "embersill.edge.handover", "embersill.edge.lease"
 MEMBERSHIP, NODE = "embersill.edge.membership", "embersill.edge.node"
 PERSISTENCE = "embersill.edge.persistence"
@@ -181,6 +183,40 @@
         ),
         DAYS,
     ),
+    Guarded(
+        "founder_lost_as_elected",
+        Fence(
+            "vote-on-disk",
+            ELECTION,
+            "a seed answers for a vote that its disk does not have",
+            "        self.vote = vote\n",
+            "        self.vote = vote\n        return go_on()\n",
+        ),
+        FIRST_START,
+    ),
+    Guarded(
+        "founder_lost_as_elected",
+        Fence(
+            "accepted-roster",
+            ELECTION,
+            "a proposer passes over the roster that a seed has taken",
+            "ballots.proposed = newest.roster or self.roster()",
+            "ballots.proposed = self.roster()",
+        ),
+        FIRST_START,
+    ),
+    Guarded(
+        "first_losses",
+        Fence(
+            "elected-by-majority",
+            ELECTION,
+            "a seed founds with its own vote alone",
+            "len(ballots.promises) < majority(len(self.seeds))",
+            "len(ballots.promises) < 1",
+            ((ELECTION, "len(ballots.accepted) == majority(len(self.seeds))", "len(ballots.accepted) == 1"),),
+        ),
+        FIRST_START,
+    ),
 )
 BY_NAME = {guarded.fence.name: guarded for guarded in GUARDED}
 
--- /dev/null
+++ b/embersill/lab/edge/first_start.py
@@ -0,0 +1,150 @@
+"""Scenarios of the very first start, on the simulated cluster: losses while the first epoch is elected.
+
+Whatever is killed, cut off or loses its disk meanwhile, within what is to be borne, there is one first
+roster, and the cluster takes orders soon after all are back.
+"""
+
+from __future__ import annotations
+
+import random
+
+import msgspec
+
+from embersill.edge.records import Begun, Roster
+from embersill.lab.edge.control import ACKNOWLEDGED_WITHIN, Report, ordered
+from embersill.lab.edge.fleet import Fleet, Machine
+
+STEP = 0.02  # seconds between looks at the rosters
+ELECTED_ABOUT = 1.0, 1.3  # seconds after the start in which the seeds elect, if nothing disturbs them
+STARTING = 0.0, 2.5  # seconds after the start in which other losses come
+ALL_BACK_AFTER = 5.0  # seconds after the start
+FINE_STEP = 0.0005  # seconds between looks where the moment of the election matters
+AWAY_FOR = 8.0  # seconds for which founder and others are lost: others have founded by then
+FOUNDED_WITHIN = 6.0  # seconds after all are back, in which an order may find no members yet
+BORNE = {3: 1, 4: 1, 6: 2}  # losses to be borne, by members of the core
+
+
+class FirstRosters:
+    """The rosters of the first epoch that any process or disk of a cluster ever had."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        self.found: set[bytes] = set()
+
+    def look(self) -> None:
+        """Notes what there is now."""
+        for machine in self.fleet.machines:
+            if machine.node is not None and machine.node.agreement.roster is not None:
+                self.note(machine.node.agreement.roster)
+            if "begun" in machine.disk:
+                begun: Begun = msgspec.json.decode(machine.disk["begun"], type=Begun)
+                self.note(begun.roster)
+
+    def note(self, roster: Roster) -> None:
+        """Notes a roster if it is of the first epoch."""
+        if roster.epoch == 1:
+            self.found.add(msgspec.json.encode(roster, order="deterministic"))
+
+    def run(self, seconds: float) -> None:
+        """Runs the cluster, and looks after each step."""
+        until = self.fleet.kernel.now + seconds
+        while self.fleet.kernel.now < until:
+            self.fleet.run(STEP)
+            self.look()
+
+
+def kill_for(fleet: Fleet, machine: Machine, at: float, seconds: float, wiped: bool = False) -> None:
+    """A machine's process is killed, and started again after a while; `wiped`: with an empty disk."""
+
+    def begin() -> None:
+        if machine.node is not None:
+            machine.wipe() if wiped else machine.kill()
+            fleet.kernel.at(fleet.kernel.now + seconds, back)
+
+    def back() -> None:
+        if machine.node is None:
+            machine.start()
+
+    fleet.kernel.at(at, begin)
+
+
+def first_losses(seed: int) -> Report:
+    """Any process is killed at any moment of the first start, some are cut off, and one disk may be lost."""
+    chance = random.Random(f"{seed} first losses")
+    cores = chance.choice(list(BORNE))
+    report, fleet = Report(), Fleet(seed, cores, 2)
+    fleet.require(BORNE[cores])
+    rosters = FirstRosters(fleet)
+    for machine in fleet.machines:
+        if chance.random() < 0.5:
+            moment = chance.uniform(*chance.choice((STARTING, ELECTED_ABOUT)))
+            kill_for(fleet, machine, moment, chance.choice((0.1, 0.5, 2.0)))
+    if chance.random() < 0.3:
+        wiped = chance.choice(fleet.machines[:cores])
+        kill_for(fleet, wiped, chance.uniform(*STARTING), 1.0, wiped=True)
+    if chance.random() < 0.6:
+        names = {machine.name for machine in fleet.machines if chance.random() < 0.4}
+        fleet.kernel.at(chance.uniform(*STARTING), fleet.cut, names)
+        fleet.kernel.at(chance.uniform(3.0, ALL_BACK_AFTER), fleet.heal)
+    rosters.run(ALL_BACK_AFTER)
+    fleet.heal()
+    rosters.run(FOUNDED_WITHIN)
+    taken = ordered(fleet, 1, 0, fleet.machines, ACKNOWLEDGED_WITHIN)
+    report.expect(taken is not None, "no order is taken once all are back")
+    rosters.run(1.0)
+    report.expect(len(rosters.found) == 1, f"there are {len(rosters.found)} first rosters")
+    return report
+
+
+def all_killed(seed: int) -> Report:
+    """All processes are killed at the same moment of the first start: those that have a disk go on by it."""
+    chance = random.Random(f"{seed} all killed")
+    report, fleet = Report(), Fleet(seed, 3, 2)
+    at = chance.uniform(0.05, 1.5)
+    for machine in fleet.machines:
+        kill_for(fleet, machine, at, chance.uniform(0.5, 1.0))
+    rosters = FirstRosters(fleet)
+    rosters.run(ALL_BACK_AFTER)
+    report.expect(ordered(fleet, 1, 0, fleet.machines) is not None, "nobody founds any more")
+    report.expect(len(rosters.found) == 1, f"there are {len(rosters.found)} first rosters")
+    return report
+
+
+def founder_gone(seed: int) -> Report:
+    """The seed that would propose is gone for good, or cut off, from some moment of the first start on."""
+    chance = random.Random(f"{seed} founder gone")
+    report, fleet = Report(), Fleet(seed, 3, 2)
+    rosters, founder = FirstRosters(fleet), fleet.machines[0]
+    at = chance.uniform(0.0, 1.3)
+    cut_off = chance.random() < 0.5
+    fleet.kernel.at(at, fleet.cut, {founder.name}) if cut_off else fleet.kernel.at(at, founder.kill)
+    rosters.run(at + FOUNDED_WITHIN)
+    others = fleet.machines[1:]
+    report.expect(ordered(fleet, 1, 0, others) is not None, "nobody founds in the place of the founder")
+    fleet.heal()
+    rosters.run(2.0)
+    report.expect(len(rosters.found) == 1, f"there are {len(rosters.found)} first rosters")
+    return report
+
+
+def founder_lost_as_elected(seed: int) -> Report:
+    """The founder and a member that is no seed are lost as the roster is decided, before anybody is told; the
+    other seeds are killed at that moment, or go on. They find what was decided, not what they see."""
+    chance = random.Random(f"{seed} founder lost as elected")
+    report, fleet = Report(), Fleet(seed, 4, 1)
+    rosters = FirstRosters(fleet)
+    founder, other_seeds, further = fleet.machines[0], fleet.machines[1:3], fleet.machines[3]
+    while not rosters.found and fleet.kernel.now < ALL_BACK_AFTER:
+        fleet.run(FINE_STEP)
+        rosters.look()
+    report.expect(bool(rosters.found), "nobody founds")
+    now = fleet.kernel.now
+    kill_for(fleet, founder, now, AWAY_FOR)
+    kill_for(fleet, further, now, AWAY_FOR)
+    if chance.random() < 0.5:
+        for machine in other_seeds:
+            kill_for(fleet, machine, now, 0.2)
+    rosters.run(AWAY_FOR + FOUNDED_WITHIN)
+    report.expect(ordered(fleet, 1, 0, fleet.machines) is not None, "no order is taken once all are back")
+    report.expect(len(rosters.found) == 1, f"there are {len(rosters.found)} first rosters")
+    return report
--- a/embersill/lab/edge/fleet.py
+++ b/embersill/lab/edge/fleet.py
@@ -8,7 +8,8 @@
 
 import msgspec
 
-from embersill.edge.records import Begun, Remembered, Save, Stored
+from embersill.edge.election import VOTE
+from embersill.edge.records import Begun, Remembered, Save, Stored, Vote
 from embersill.edge.document import NO_LAPSES, Order, State, stand
 from embersill.edge.membership import Requirements
 from embersill.edge.node import Node
@@ -69,10 +70,10 @@
         stored = Stored(
             store, msgspec.json.decode(begun, type=Begun) if begun else None,
             msgspec.msgpack.decode(kept, type=Remembered) if kept else None,
-            gateways=int(self.disk.get("gateways", b"0")),
+            gateways=int(self.disk.get("gateways", b"0")), vote=self.vote(first),
             state=msgspec.msgpack.decode(self.disk["state"], type=State) if "state" in self.disk else None)
         hello = Hello(self.name, self.ip, self.zone, f"{self.ip}:{CONTROL}", self.core, store,
-                      f"{chance.getrandbits(32):x}", first=first, seed=self.ip in self.fleet.seeds)
+                      f"{chance.getrandbits(32):x}")
         self.node = Node(hello, self.fleet.seeds, stored, random.Random(chance.getrandbits(32)), kernel.now)
         self.node.founding.requirements = self.fleet.requirements
         self.seen = 0, 0
@@ -81,6 +82,16 @@
         self.node.begin()
         self.tick()
 
+    def vote(self, first: bool) -> Vote | None:
+        """A seed's vote on the first epoch: new at the very first start, from its disk later."""
+        if first and self.ip in self.fleet.seeds:
+            vote = Vote(tuple(self.fleet.seeds))
+            if self.core:
+                self.disk[VOTE] = msgspec.json.encode(vote)
+            return vote
+        kept = self.disk.get(VOTE) if self.core else None
+        return msgspec.json.decode(kept, type=Vote) if kept else None
+
     def serve(self, first: bool) -> None:
         """Once there is a node: for machines that also take requests."""
 
--- /dev/null
+++ b/tests/edge/test_first_start.py
@@ -0,0 +1,132 @@
+"""The very first start: the seeds elect the first roster, whatever is lost meanwhile."""
+
+from __future__ import annotations
+
+import random
+from pathlib import Path
+
+import pytest
+
+from embersill.edge.election import Accepted, Acceptor, Body, Outbid, Prepare, Promise, Propose
+from embersill.edge.local import Local
+from embersill.edge.program import first_vote
+from embersill.edge.records import Effects, Roster, Seat, Vote, VoteBallot
+from embersill.edge.store import Store
+from embersill.lab.edge import first_start
+
+SEEDS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
+ONE = Roster(1, {"m1": Seat(SEEDS[0], "s1")})
+OTHER = Roster(1, {"m2": Seat(SEEDS[1], "s2")})
+
+
+@pytest.mark.parametrize("seed", range(16))
+def test_losses_within_the_first_start_leave_one_first_roster(seed: int) -> None:
+    assert not first_start.first_losses(seed).wrong
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_all_killed_in_the_first_start_go_on_by_their_disks(seed: int) -> None:
+    assert not first_start.all_killed(seed).wrong
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_another_seed_founds_in_the_place_of_one_that_is_lost(seed: int) -> None:
+    assert not first_start.founder_gone(seed).wrong
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_roster_that_was_decided_is_kept_though_its_proposer_is_lost(seed: int) -> None:
+    assert not first_start.founder_lost_as_elected(seed).wrong
+
+
+class Voter:
+    """An acceptor whose saves end as the test says, and what it has answered."""
+
+    def __init__(self) -> None:
+        self.effects = Effects()
+        self.acceptor = Acceptor(Vote(SEEDS), self.effects)
+        self.heard: list[Body] = []
+
+    def prepare(self, ballot: VoteBallot, disk: bool = True) -> None:
+        self.acceptor.prepare(Prepare(ballot), self.heard.append)
+        self.end_saves(disk)
+
+    def accept(self, ballot: VoteBallot, roster: Roster, disk: bool = True) -> None:
+        self.acceptor.accept(Propose(ballot, roster), self.heard.append)
+        self.end_saves(disk)
+
+    def end_saves(self, good: bool) -> None:
+        while self.effects.saves:
+            self.effects.saves.pop(0).then(good)
+
+
+def test_a_vote_is_answered_for_once_it_is_on_disk_and_an_older_ballot_never() -> None:
+    voter = Voter()
+    first, second = VoteBallot(1, SEEDS[0], "a"), VoteBallot(2, SEEDS[1], "b")
+    voter.accept(first, ONE, disk=False)
+    assert voter.heard == []
+    voter.accept(first, ONE)
+    voter.prepare(second)
+    assert voter.heard == [Accepted(first), Promise(second, first, ONE)]
+    voter.accept(first, OTHER)
+    voter.prepare(first)
+    assert voter.heard[2:] == [Outbid(first, second), Outbid(first, second)]
+
+
+def test_a_gateway_without_a_vote_answers_nothing() -> None:
+    heard: list[Body] = []
+    acceptor = Acceptor(None, Effects())
+    acceptor.prepare(Prepare(VoteBallot(1, SEEDS[0], "a")), heard.append)
+    acceptor.accept(Propose(VoteBallot(1, SEEDS[0], "a"), ONE), heard.append)
+    assert heard == [] and not acceptor.effects.saves
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_of_two_proposers_in_any_order_one_roster_is_decided(seed: int) -> None:
+    """Single-decree Paxos by hand: messages come in any order, or never; no two rosters are decided."""
+    chance = random.Random(seed)
+    voters = {ip: Voter() for ip in SEEDS}
+    decided: set[str] = set()
+    rounds = {ip: number for number, ip in enumerate(SEEDS[:2])}
+    for _ in range(40):
+        proposer, own = chance.choice(((SEEDS[0], ONE), (SEEDS[1], OTHER)))
+        rounds[proposer] += 1
+        ballot = VoteBallot(rounds[proposer], proposer, "a")
+        promises: list[Promise] = []
+        for voter in chance.sample(list(voters.values()), chance.choice((1, 2, 3))):
+            voter.prepare(ballot)
+            answer = voter.heard[-1]
+            if isinstance(answer, Promise) and answer.ballot == ballot:
+                promises.append(answer)
+        if len(promises) < 2:
+            continue
+        newest = max(promises, key=lambda promise: promise.accepted)
+        roster = newest.roster or own
+        taken = 0
+        for voter in chance.sample(list(voters.values()), chance.choice((0, 1, 2, 3))):
+            voter.accept(ballot, roster)
+            taken += voter.heard[-1] == Accepted(ballot)
+        if taken >= 2:
+            decided.update(roster.members)
+    assert len(decided) <= 1
+
+
+def local_of(first: bool, ip: str) -> Local:
+    """The settings that matter for a vote."""
+    settings = {"first_start": first, "ip_address": ip, "seed_nodes": [f"{seed}:80" for seed in SEEDS]}
+    return settings  # type: ignore[return-value]
+
+
+def test_only_a_seed_at_the_very_first_start_gets_a_vote_and_its_disk_has_it_at_once(tmp_path: Path) -> None:
+    assert first_vote(local_of(True, SEEDS[1])) == Vote(SEEDS)
+    assert first_vote(local_of(False, SEEDS[1])) is None
+    assert first_vote(local_of(True, "10.0.0.9")) is None
+    store = Store(tmp_path, 64.0)
+    assert store.begin(lambda: "nonce", Vote(SEEDS)).ok.vote == Vote(SEEDS)
+    store.environment.close()
+    again = Store(tmp_path, 64.0)
+    assert again.begin(lambda: "other").ok.vote == Vote(SEEDS)
+    again.environment.close()
+    empty = Store(tmp_path / "wiped", 64.0)
+    assert empty.begin(lambda: "third").ok.vote is None
+    empty.environment.close()
