--- a/embersill/lab/edge/days.py
+++ b/embersill/lab/edge/days.py
@@ -17,7 +17,16 @@
 
 import tomli_w
 
-from embersill.lab.edge.troubles import EARLIEST, FAULTS, LATEST, PLANNED, Trouble, known, moment
+from embersill.lab.edge.troubles import (
+    EARLIEST,
+    FAULTS,
+    FIRST_START,
+    LATEST,
+    PLANNED,
+    Trouble,
+    known,
+    moment,
+)
 
 Troubles = tuple[list[Trouble], list[Trouble]]  # planned work, and faults
 TEMPLATE = "trouble"  # the slot of the day whose traffic and marks are taken
@@ -193,6 +202,28 @@
     return [*plan, *changes(chance, 3)], faults
 
 
+def first_start(chance: random.Random) -> Troubles:
+    """Losses while the machines start and the first configuration is brought, and some more in the day."""
+    early = [kind for kind in FAULTS if kind.name in STARTING_KINDS]
+    faults = [chance.choice(early).draw(chance, FIRST_START, EARLIEST) for _ in range(chance.randrange(1, 4))]
+    faults += [chance.choice(early).draw(chance) for _ in range(2)]
+    return changes(chance, 5), faults
+
+
+STARTING_KINDS = (
+    "node_kill",
+    "herd_kill",
+    "replace_core",
+    "core_cut",
+    "node_cut",
+    "node_freeze",
+    "node_slow",
+    "disk_slow",
+    "disk_full",
+    "disk_stall",
+    "reset_conns",
+    "ack_lost",
+)
 ANYTHING = "anything"
 POINTS: dict[str, Callable[[random.Random], Troubles]] = {
     "cut_off": cut_off,
@@ -200,6 +231,7 @@
     "membership": membership,
     "catching_up": catching_up,
     "answers": answers,
+    "first_start": first_start,
 }
 
 
--- a/embersill/lab/edge/troubles.py
+++ b/embersill/lab/edge/troubles.py
@@ -11,8 +11,9 @@
 from typing import Any
 
 Trouble = dict[str, Any]  # as a day has them: `kind`, `at` in seconds, and what belongs to the kind
-EARLIEST, LATEST = 1.0, 24.0  # from the start of traffic: when a trouble begins
-LASTS = (1.5, 3.0, 6.0, 12.0)
+EARLIEST, LATEST = 1.0, 28.0  # from the start of traffic: when a trouble begins
+FIRST_START = -9.9  # from the start of traffic: when the machines have just started
+LASTS = (1.5, 3.0, 6.0, 12.0, 20.0)
 
 
 def moment(chance: random.Random, earliest: float, latest: float) -> float:
@@ -32,9 +33,9 @@
     strengths: tuple[float, ...] = ()  # one of these is its `x`
     contract: str = ""  # only sites with this contract know it
 
-    def draw(self, chance: random.Random) -> Trouble:
+    def draw(self, chance: random.Random, earliest: float = EARLIEST, latest: float = LATEST) -> Trouble:
         """One trouble of this kind at a drawn moment."""
-        trouble: Trouble = {"kind": self.name, "at": moment(chance, EARLIEST, LATEST)}
+        trouble: Trouble = {"kind": self.name, "at": moment(chance, earliest, latest)}
         trouble |= self.fields
         how = chance.choice(self.variants)
         if how:
@@ -80,17 +81,32 @@
 )
 FAULTS = (
     Kind("hot_tenant", fields={"count": 1}, strengths=(6.0, 10.0)),
-    Kind("srv_crash", ("", "silent", "gone"), fields={"share": 0.15}),
+    Kind("srv_crash", ("", "dark", "gone", "domain", "across dark"), fields={"share": 0.15}),
     Kind("answer_lost", ("", "reset"), fields={"share": 0.5}, strengths=(0.03, 0.06)),
     Kind(
         "garble", ("", "extra", "extra late", "unframed", "early"), fields={"share": 0.5}, strengths=(0.03,)
     ),
     Kind("node_kill", ("", "power"), fields={"share": 0.2}),
-    Kind("node_kill", ("leader", "leader race drain", "meet drain", "seed", "hard"), fields=ON_CORE),
+    Kind(
+        "node_kill",
+        (
+            "leader",
+            "leader race drain",
+            "meet drain",
+            "seed",
+            "leader hard",
+            "giver",
+            "reader",
+            "turn race",
+            "power leader drain",
+        ),
+        fields=ON_CORE,
+    ),
     Kind("herd_kill", ("", "power"), fields={"share": 0.6}),
     Kind("herd_kill", ("", "off", "taken"), fields={"on": "core", "share": 1.0}),
+    Kind("herd_kill", ("meet drain", "race"), fields={"on": "core", "share": 0.4}),
     Kind("replace_core", ("", "oldest", "leader"), lasts=False, strengths=(0.5, 1.0, 2.0)),
-    Kind("after_ack_kill", ("", "kill", "timed")),
+    Kind("after_ack_kill", ("", "kill", "timed", "taken")),
     Kind("after_ack_wipe", ("", "oldest", "timed")),
     Kind(
         "core_cut",
@@ -109,10 +125,16 @@
             "leader race",
             "leader meet",
             "oldest drain",
+            "reset",
+            "refuse",
+            "giver drain",
+            "reader",
+            "turn race",
+            "split race",
         ),
         fields={"count": 1},
     ),
-    Kind("node_cut", ("", "all", "servers"), fields={"share": 0.2}),
+    Kind("node_cut", ("", "all", "servers", "all reset", "refuse", "servers reset"), fields={"share": 0.2}),
     Kind("burst", strengths=(1.5, 2.0)),
     Kind("retry_abuse", fields={"share": 0.3}, strengths=(2.0, 4.0)),
     Kind("give_up", fields={"share": 0.4}),
