A clear word where the members can't bear the losses that the settings ask for

Need: with too few members, or with two regions either of which may be lost, nothing said that a loss would leave no majority. membership.shortfall reckons it; members tell it in a log line as it begins and ends, status has it as short. The sockets' tests give seeds their vote as the program's start does.

--- a/embersill/edge/founding.py
+++ b/embersill/edge/founding.py
@@ -14,7 +14,14 @@
 from embersill.edge.agreement import Agreement
 from embersill.edge.document import EMPTY
 from embersill.edge.election import Election
-from embersill.edge.membership import MOST_SEATS, Candidate, Requirements, next_members
+from embersill.edge.membership import (
+    MOST_SEATS,
+    Candidate,
+    Requirements,
+    Shortfall,
+    next_members,
+    shortfall,
+)
 from embersill.edge.records import Effects, Roster, Seat, Vote
 from embersill.edge.roll import Hello, Roll
 
@@ -140,7 +147,7 @@
             self.candidates(roster),
             {name: now - since for name, since in self.missing.items()},
             self.leaving(),
-            {name: hello.zone for name, hello in self.roll.seen.items()},
+            self.zones(),
             self.requirements,
         )
         if wanted != self.wanted:
@@ -150,6 +157,16 @@
             self.again_at = now + RESEAT_EVERY
             self.agreement.reseat(wanted)
 
+    def zones(self) -> dict[str, str]:
+        """Zones of the gateways that are known here, by name."""
+        seen = {name: hello.zone for name, hello in self.roll.seen.items()}
+        return {**seen, self.me.name: self.me.zone}
+
+    def shortfall(self) -> Shortfall | None:
+        """What the members of the core can't bear; None if all that is asked for, or if there are none."""
+        roster = self.agreement.roster
+        return shortfall(roster.members, self.zones(), self.requirements) if roster is not None else None
+
     def candidates(self, roster: Roster) -> list[Candidate]:
         """Machines of the core without a seat that have the state in force: a learner counts for nothing."""
         return [
--- a/embersill/edge/membership.py
+++ b/embersill/edge/membership.py
@@ -49,6 +49,37 @@
         return members - majority(members) if self.places else members
 
 
+@dataclass(frozen=True, slots=True)
+class Shortfall:
+    """Why the members can't bear the losses that the deployment asks for."""
+
+    members: int
+    least: int  # members that it takes
+    crowded: str = ""  # a place whose loss leaves no majority; empty if there is none
+
+    def __str__(self) -> str:
+        if self.crowded:
+            return f"losing {self.crowded} leaves no majority of {self.members} members"
+        return f"{self.members} members where {self.least} are needed"
+
+
+def shortfall(
+    members: Collection[str], zones: Mapping[str, str], requirements: Requirements
+) -> Shortfall | None:
+    """What these members can't bear; None if they bear all that is asked for.
+
+    `zones`: by member, as far as they are known; those of unknown zones crowd no place.
+    """
+    places = Counter(requirements.place(zones[name]) for name in members if name in zones)
+    most = requirements.most_in_a_place(len(members))
+    crowded = sorted(place for place, seats in places.items() if seats > most)
+    if crowded:
+        return Shortfall(len(members), requirements.least, crowded[0])
+    if len(members) < requirements.least:
+        return Shortfall(len(members), requirements.least)
+    return None
+
+
 def departures(roster: Roster, missing: Mapping[str, float], leaving: Collection[str]) -> list[str]:
     """Members whose seats newcomers may take, those that are missing longest first.
 
--- a/embersill/edge/node.py
+++ b/embersill/edge/node.py
@@ -23,6 +23,7 @@
 from embersill.edge.election import KIND as ELECTION
 from embersill.edge.figures import Figures
 from embersill.edge.founding import Founding
+from embersill.edge.membership import Shortfall
 from embersill.edge.policy import AS_BUILT, Policy
 from embersill.edge.reports import Reports
 from embersill.edge.roll import Hello, Roll
@@ -96,6 +97,7 @@
         # hears of another policy, or another stretch of a run, in which requests are counted
         self.on_policy: Callable[[Policy, str], None] = lambda policy, label: None
         self.cell.on_view = lambda text: self.on_view(text)
+        self.short: Shortfall | None = None  # what the members can't bear, as told last
         self.viewed = ("", 0)  # its zone's keeper and the number of gateways, as told last
         self.on_instances: Callable[[list[Any]], None] = lambda news: None
         self.agreement.load(stored)
@@ -215,11 +217,16 @@
     # the configuration
 
     def view(self) -> None:
-        """Tells who keeps this zone's backends and how many gateways there are, where that has changed."""
+        """Tells who keeps this zone's backends, how many gateways there are, and whether the members suffice,
+        where that has changed."""
         viewed = self.roll.keeper(self.me.zone), self.roll.count
         if viewed != self.viewed:
             self.viewed = viewed
             self.on_view(f"view keeper={viewed[0] or 'none'} gateways={viewed[1]}")
+        short = self.founding.shortfall() if self.agreement.member is not None else None
+        if short != self.short:
+            self.short = short
+            self.on_view(f"members short: {short}" if short is not None else "members suffice")
 
     def seated(self, roster: Roster) -> None:
         """Other members have taken over the configuration."""
--- a/embersill/edge/status.py
+++ b/embersill/edge/status.py
@@ -13,6 +13,7 @@
 def status_of(node: Node) -> dict[str, object]:
     """As `Status` in the interface's file has it."""
     roster, version = node.agreement.roster, node.state["version"]
+    short = node.founding.shortfall()
     backends: dict[str, dict[str, int]] = {}
     for one in node.cell.instances.known.values():
         state = "lost" if one.lost else one.state
@@ -26,6 +27,7 @@
         "votes": node.agreement.votes,
         "epoch": roster.epoch if roster is not None else 0,
         "members": {name: name in node.roll.core for name in sorted(roster.members if roster else ())},
+        "short": str(short) if short is not None else "",
         "keeper": node.roll.keeper(node.me.zone),
         "gateways": node.roll.count,
         "linked": sorted(node.roll.linked),
--- a/tests/edge/test_places.py
+++ b/tests/edge/test_places.py
@@ -11,10 +11,20 @@
 
 from embersill.council.terms import majority
 from embersill.edge.founding import spread
-from embersill.edge.membership import GONE_AFTER, MOST_SEATS, Candidate, Requirements, next_members
+from embersill.edge.membership import (
+    GONE_AFTER,
+    MOST_SEATS,
+    Candidate,
+    Requirements,
+    Shortfall,
+    next_members,
+    shortfall,
+)
 from embersill.edge.program import requirements_of
 from embersill.edge.records import Roster, Seat
 from embersill.edge.roll import Hello
+from embersill.edge.status import status_of
+from embersill.lab.edge.fleet import Fleet
 
 ZONES = ("a", "b", "c")
 BY_ZONE = Requirements(3, {zone: zone for zone in ZONES})
@@ -131,3 +141,32 @@
     assert read(machine_failures=1, zones=1, regions=0).place("a2") == "a2"
     assert read(machine_failures=1, zones=1).places.keys() == REGIONS.keys()
     assert read(regions=1).place("a2") == "a"
+
+
+def test_what_the_members_cannot_bear_is_told() -> None:
+    zones = {"m0": "a1", "m1": "a2", "m2": "b1", "m3": "c1"}
+    two_regions = Requirements(3, {"a1": "a", "a2": "a", "b1": "b"})
+    assert shortfall(("m0", "m2", "m3"), zones, BY_REGION) is None
+    assert shortfall(("m0", "m1", "m2"), zones, two_regions) == Shortfall(3, 3, "a")
+    assert str(Shortfall(3, 3, "a")) == "losing a leaves no majority of 3 members"
+    assert shortfall(("m0", "m2", "m3"), zones, Requirements(5)) == Shortfall(3, 5)
+    assert str(Shortfall(3, 5)) == "3 members where 5 are needed"
+    assert shortfall(("m0", "m8", "m9"), {"m0": "a1"}, BY_REGION) is None, "unknown zones crowd no place"
+
+
+def test_operators_hear_which_losses_cannot_be_borne_and_when_they_can_again() -> None:
+    fleet = Fleet(1, 3, 1)
+    lines: list[str] = []
+    fleet.require(2)
+    for machine in fleet.machines[:3]:
+        assert machine.node is not None
+        machine.node.on_view = lines.append
+    fleet.run(3.0)
+    first = fleet.machines[0]
+    assert first.node is not None
+    assert lines.count("members short: 3 members where 5 are needed") == 3
+    assert status_of(first.node)["short"] == "3 members where 5 are needed"
+    fleet.add(True, "a")
+    fleet.add(True, "b")
+    fleet.run(5.0)
+    assert lines.count("members suffice") == 3 and status_of(first.node)["short"] == ""
--- a/tests/edge/test_sockets.py
+++ b/tests/edge/test_sockets.py
@@ -16,7 +16,7 @@
 from embersill.edge.doors import INTERFACE, operations
 from embersill.edge.local import Local
 from embersill.edge.logs import line
-from embersill.edge.program import System
+from embersill.edge.program import System, first_vote
 from embersill.edge.store import Store
 from embersill.lab.edge.fleet import change
 
@@ -111,9 +111,10 @@
     for number in (1, 2, 3, 4):
         place = folder / f"n{number}" if number < 4 else None
         store = Store(place, 16) if place is not None else None
-        stored = store.begin(lambda number=number: f"s{number}") if store is not None else None  # type: ignore[misc]
-        systems.append(System(local(number, ports, place, number < 4), store,
-                              stored.ok if stored is not None else Stored("x")))
+        settings = local(number, ports, place, number < 4)
+        vote = first_vote(settings)
+        stored = store.begin(lambda number=number: f"s{number}", vote) if store is not None else None  # type: ignore[misc]
+        systems.append(System(settings, store, stored.ok if stored is not None else Stored("x")))
         stores.append(store)
     try:
         for system in systems:
