--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -21,10 +21,10 @@
 
 import msgspec
 
-from embersill.edge.document import EMPTY, State, changed, digest, read_document
-from embersill.edge.instances import Instance, Instances
+from embersill.edge.configuration.document import EMPTY, State, changed, digest, read_document
+from embersill.edge.discovery.instances import Instance, Instances
 from embersill.edge.records import Value
-from embersill.edge.routes import Table
+from embersill.edge.configuration.routes import Table
 
 TARGET = {"routes": 15_000, "tenants": 75_000, "services": 1_500, "backends": 26_000, "orders": 512}
 GATEWAYS = 2_100
--- a/benchmarks/judges.py
+++ b/benchmarks/judges.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from embersill.edge.judging import FALSE_ALARM, MISSED, compared, part, ratio
+from embersill.edge.rollout.judging import FALSE_ALARM, MISSED, compared, part, ratio
 
 A_SECOND = 60  # requests at either side
 BEFORE, WATCH = 10, 30  # seconds
--- a/benchmarks/rollout.py
+++ b/benchmarks/rollout.py
@@ -13,8 +13,8 @@
 from concurrent.futures import ProcessPoolExecutor
 from typing import Any
 
-from embersill.edge.policy import Policy
-from embersill.edge.rollouts import rollouts_of
+from embersill.edge.configuration.policy import Policy
+from embersill.edge.configuration.rollouts import rollouts_of
 from embersill.lab.edge.rolling import HARMS, MARKED, RollTown, roll_town
 from embersill.lab.edge.town import at_part, worth
 
--- a/embersill/edge/calls.py
+++ b/embersill/edge/calls.py
@@ -13,15 +13,15 @@
 
 import msgspec
 
-from embersill.edge.agreement import Agreement
-from embersill.edge.cell import Cell
-from embersill.edge.document import State, stand
-from embersill.edge.lapses import lapses_of
-from embersill.edge.proposals import change_of, lapse_of, rollout_of
+from embersill.edge.consensus.agreement import Agreement
+from embersill.edge.discovery.registry import Registry
+from embersill.edge.configuration.document import State, revision
+from embersill.edge.configuration.lapses import lapses_of
+from embersill.edge.consensus.proposals import change_of, lapse_of, rollout_of
 from embersill.edge.records import Effects, Message
-from embersill.edge.reports import Reports
-from embersill.edge.roll import Hello, Roll
-from embersill.edge.rollouts import rollouts_of
+from embersill.edge.throttling.reports import Reports
+from embersill.edge.peers.peer_set import Hello, PeerSet
+from embersill.edge.configuration.rollouts import rollouts_of
 from embersill.edge.verdict import Ran, Verdict, done, refused, unknown
 
 CALL_WITHIN = 0.8  # seconds for a backend's call that is passed on: it goes elsewhere after one
@@ -50,9 +50,15 @@
     """The calls that arrive at one gateway, from outside or passed on by another gateway."""
 
     def __init__(
-        self, me: Hello, roll: Roll, agreement: Agreement, cell: Cell, reports: Reports, effects: Effects
+        self,
+        me: Hello,
+        peers: PeerSet,
+        agreement: Agreement,
+        registry: Registry,
+        reports: Reports,
+        effects: Effects,
     ) -> None:
-        self.me, self.roll, self.agreement, self.cell = me, roll, agreement, cell
+        self.me, self.peers, self.agreement, self.registry = me, peers, agreement, registry
         self.reports, self.effects = reports, effects
         self.passed: dict[int, Passed] = {}
         self.number = 0
@@ -66,7 +72,7 @@
         report, lapse, lapses, rollout and rollouts are the operators'.
         """
         if what in BACKENDS_CALLS or what == "report":
-            if self.me.name in self.roll.core:
+            if self.me.name in self.peers.core:
                 return self.settle_here(what, body, answered, now)
             return self.pass_on(self.call_of_backend(what, body, answered, now), now)
         if what in READS and self.agreement.votes:
@@ -75,27 +81,27 @@
 
     def call_of_backend(self, what: str, body: Any, answered: Answered, now: float) -> Passed:
         """The zone's keeper is asked first, then the nearest."""
-        keeper = self.roll.keeper(str(body.get("zone", "")))
-        members = sorted(self.others(), key=lambda name: (name != keeper, self.roll.distance(name)))
+        keeper = self.peers.keeper(str(body.get("zone", "")))
+        members = sorted(self.others(), key=lambda name: (name != keeper, self.peers.distance(name)))
         return Passed(what, body, answered, now + CALL_WITHIN, members, now + CALL_WITHIN)
 
     def order(self, what: str, body: Any, answered: Answered, now: float) -> Passed:
         """The first member that stays is asked first, then this gateway if it is one, then the nearest."""
-        silent = set(self.roll.silent(now))
-        ranks = {name: (name in silent, self.roll.leaving(name), name) for name in self.roll.core}
+        silent = set(self.peers.silent(now))
+        ranks = {name: (name in silent, self.peers.leaving(name), name) for name in self.peers.core}
         first = min(ranks, key=lambda name: ranks[name], default="")
-        members = sorted(self.others(), key=lambda name: (name != first, self.roll.distance(name)))
+        members = sorted(self.others(), key=lambda name: (name != first, self.peers.distance(name)))
         if self.agreement.votes:
             members.insert(0 if first == self.me.name else 1, self.me.name)
         return Passed(what, body, answered, now + CHANGE_WITHIN, members)
 
     def others(self) -> list[str]:
         """The linked members of the core but this gateway."""
-        return [name for name in self.roll.core if name != self.me.name]
+        return [name for name in self.peers.core if name != self.me.name]
 
     def pass_on(self, passed: Passed, now: float) -> None:
         """Has the next member settle a call."""
-        passed.others = [name for name in passed.others if name in self.roll.core]
+        passed.others = [name for name in passed.others if name in self.peers.core]
         if not passed.others:
             why = "no member of the core can settle it"
             return passed.answered(unknown(why) if passed.unclear else refused(503, why))
@@ -151,8 +157,8 @@
 
     def settle_here(self, what: str, body: Any, answered: Answered, now: float) -> None:
         """Settles a call as a member of the core; 503 where this gateway is none."""
-        if what in BACKENDS_CALLS and self.me.name in self.roll.core:
-            return self.cell.call(what, body, answered, now)
+        if what in BACKENDS_CALLS and self.me.name in self.peers.core:
+            return self.registry.call(what, body, answered, now)
         if what == "report":
             return self.reports.ask(str(body.get("id", "")), answered, now)
         if what not in BACKENDS_CALLS and self.agreement.votes and not self.agreement.lease.lapsed(now):
@@ -170,7 +176,7 @@
                 return answered(verdict)
             if what in READS:
                 return answered(self.read(what, state))
-            return self.when_applied(stand(state), lambda: answered(verdict))
+            return self.when_applied(revision(state), lambda: answered(verdict))
 
         if what in READS:
             return self.agreement.read(decided)
--- a/embersill/edge/command.py
+++ b/embersill/edge/command.py
@@ -18,14 +18,14 @@
 from expression import Error, Ok, Result
 
 from embersill.edge.records import Stored
-from embersill.edge.check import checked
-from embersill.edge.document import read_document, write_version
-from embersill.edge.instances import Instance
+from embersill.edge.configuration.check import checked
+from embersill.edge.configuration.document import read_document, write_version
+from embersill.edge.discovery.instances import Instance
 from embersill.edge.local import read_local, VARIABLE
-from embersill.edge.policy import AS_BUILT, differences, read_policy
-from embersill.edge.rollouts import MOST_SHARE
-from embersill.edge.stages import Site, steps_of
-from embersill.edge.store import look_into
+from embersill.edge.configuration.policy import AS_BUILT, differences, read_policy
+from embersill.edge.configuration.rollouts import MOST_SHARE
+from embersill.edge.configuration.stages import Site, steps_of
+from embersill.edge.storage.store import look_into
 from embersill.net.discovery import read_address
 
 ANSWER_WITHIN = 3.0  # seconds for a gateway to say what it believes
--- a/embersill/edge/document.py
+++ b/embersill/edge/configuration/document.py
@@ -9,8 +9,8 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from embersill.edge.check import checked
-from embersill.edge.policy import AS_BUILT, Policy
+from embersill.edge.configuration.check import checked
+from embersill.edge.configuration.policy import AS_BUILT, Policy
 
 MOST_TAKEN = 512  # changes whose digests are kept, so that one that is sent again is known
 DIGEST = 16  # hexadecimal digits of a change's digest; it tells apart changes under one version only
@@ -309,6 +309,6 @@
     return {**state, "lapses": {**lapses, "number": lapses["number"] + 1}}
 
 
-def stand(state: State) -> tuple[int, int]:
+def revision(state: State) -> tuple[int, int]:
     """How new a state is: its version, and the number of the orders beside it. Neither ever goes back."""
     return state["version"], (state.get("lapses") or NO_LAPSES)["number"]
--- a/embersill/edge/lapses.py
+++ b/embersill/edge/configuration/lapses.py
@@ -12,8 +12,8 @@
 
 from expression import Error, Ok, Result
 
-from embersill.edge.check import checked
-from embersill.edge.document import NO_LAPSES, Lapses, Order, Refusal, State, Step, raised
+from embersill.edge.configuration.check import checked
+from embersill.edge.configuration.document import NO_LAPSES, Lapses, Order, Refusal, State, Step, raised
 
 MOST_STEPS = 32
 MOST_ORDERS = 1000
--- a/embersill/edge/policy.py
+++ b/embersill/edge/configuration/policy.py
@@ -10,7 +10,7 @@
 
 from expression import Error, Ok, Result
 
-from embersill.edge.check import checked
+from embersill.edge.configuration.check import checked
 
 MOST_NAME = 100
 
--- a/embersill/edge/rollouts.py
+++ b/embersill/edge/configuration/rollouts.py
@@ -11,10 +11,10 @@
 
 from expression import Error, Ok, Result
 
-from embersill.edge.check import checked
-from embersill.edge.document import NO_ROLLOUTS, Past, Refusal, Rollouts, Run, State, raised
-from embersill.edge.policy import AS_BUILT, Policy, differences, read_policy
-from embersill.edge.stages import Site, steps_of
+from embersill.edge.configuration.check import checked
+from embersill.edge.configuration.document import NO_ROLLOUTS, Past, Refusal, Rollouts, Run, State, raised
+from embersill.edge.configuration.policy import AS_BUILT, Policy, differences, read_policy
+from embersill.edge.configuration.stages import Site, steps_of
 
 MOST_PAST = 16  # runs that are over and still told of
 WATCH_S = 30.0  # seconds that a step is watched, where nothing else is said
--- a/embersill/edge/routes.py
+++ b/embersill/edge/configuration/routes.py
@@ -5,9 +5,9 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from embersill.edge.document import Document, Route, read_version
-from embersill.edge.lapses import Slowed
-from embersill.edge.policy import AS_BUILT, Policy
+from embersill.edge.configuration.document import Document, Route, read_version
+from embersill.edge.configuration.lapses import Slowed
+from embersill.edge.configuration.policy import AS_BUILT, Policy
 from embersill.interface import Plan, Repeats, RequestClass, Scope, Settings
 
 PUBLIC = ""  # the plan of requests that carry no key: without a quota
--- a/embersill/edge/agreement.py
+++ b/embersill/edge/consensus/agreement.py
@@ -19,13 +19,13 @@
 from embersill.council.messages import AnyAnswer, AnyAsk, Answer, Ask, Entry
 from embersill.council.register import Register, Whole
 from embersill.council.terms import CouncilTerms
-from embersill.edge.document import EMPTY, State
-from embersill.edge.handover import Handover
-from embersill.edge.lease import Lease
-from embersill.edge.persistence import Persistence
-from embersill.edge.proposals import Make, Proposal
+from embersill.edge.configuration.document import EMPTY, State
+from embersill.edge.consensus.handover import Handover
+from embersill.edge.consensus.lease import Lease
+from embersill.edge.consensus.persistence import Persistence
+from embersill.edge.consensus.proposals import Make, Proposal
 from embersill.edge.records import Effects, Message, Roster, Seat, Stored, Value
-from embersill.edge.serial import Serial
+from embersill.edge.consensus.serial import Serial
 from embersill.edge.verdict import Verdict, done, refused
 
 KEY = "configuration"
--- a/embersill/edge/distribution.py
+++ b/embersill/edge/consensus/distribution.py
@@ -10,10 +10,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from embersill.edge.agreement import Agreement
-from embersill.edge.document import State, stand
+from embersill.edge.consensus.agreement import Agreement
+from embersill.edge.configuration.document import State, revision
 from embersill.edge.records import Effects, Message
-from embersill.edge.roll import Hello, Roll
+from embersill.edge.peers.peer_set import Hello, PeerSet
 
 FETCH_AGAIN = 0.4  # seconds after which a configuration that did not come is asked for elsewhere
 ACKED_WITHIN = 0.5  # seconds that an operator's change waits for the gateways' word
@@ -36,14 +36,14 @@
 
     def __init__(
         self,
-        roll: Roll,
+        peers: PeerSet,
         agreement: Agreement,
         effects: Effects,
         state: Callable[[], State],
         clock: Callable[[], float],
     ) -> None:
         """`state`: what is in force here. `clock`: the time of what is being handled."""
-        self.roll, self.agreement, self.effects, self.state = roll, agreement, effects, state
+        self.peers, self.agreement, self.effects, self.state = peers, agreement, effects, state
         self.clock = clock
         self.newest: dict[str, Version] = {}  # of linked peers, as they told
         self.fetched_at, self.fetched_from = float("-inf"), ""
@@ -52,7 +52,7 @@
     @property
     def version(self) -> Version:
         """What is in force here."""
-        return stand(self.state())
+        return revision(self.state())
 
     def linked(self, hello: Hello) -> None:
         """A peer is linked; it is told if it has an older version."""
@@ -72,7 +72,7 @@
     def tell_all(self) -> None:
         """Another version is in force here."""
         told = self.told()
-        self.effects.mail.extend((name, told) for name in self.roll.linked)
+        self.effects.mail.extend((name, told) for name in self.peers.linked)
 
     def heard(self, peer: str, message: Message) -> None:
         """A peer tells its version."""
@@ -83,10 +83,10 @@
     def catch_up(self) -> None:
         """Asks a member that has a newer version, one after the other."""
         version, now = self.version, self.clock()
-        ahead = [name for name in self.roll.core if self.newest.get(name, version) > version]
+        ahead = [name for name in self.peers.core if self.newest.get(name, version) > version]
         if not ahead or (now - self.fetched_at < FETCH_AGAIN and self.fetched_from in ahead):
             return
-        ahead.sort(key=lambda name: (name == self.fetched_from, self.roll.distance(name)))
+        ahead.sort(key=lambda name: (name == self.fetched_from, self.peers.distance(name)))
         self.fetched_at, self.fetched_from = now, ahead[0]
         self.effects.mail.append((ahead[0], {"kind": "fetch"}))
 
@@ -110,7 +110,7 @@
 
     def all_have(self, version: Version) -> bool:
         """True once all linked gateways have told that they have this version."""
-        return all(self.has(name, version) for name in self.roll.linked)
+        return all(self.has(name, version) for name in self.peers.linked)
 
     def all_up_to_date(self) -> bool:
         """True once all linked gateways have what is in force here."""
--- a/embersill/edge/duty.py
+++ b/embersill/edge/consensus/duty.py
@@ -8,11 +8,11 @@
 
 from collections.abc import Callable
 
-from embersill.edge.agreement import Agreement
-from embersill.edge.document import State
-from embersill.edge.proposals import step_of
-from embersill.edge.ring import by_place
-from embersill.edge.roll import Hello, Roll
+from embersill.edge.consensus.agreement import Agreement
+from embersill.edge.configuration.document import State
+from embersill.edge.consensus.proposals import step_of
+from embersill.edge.peers.ring import by_place
+from embersill.edge.peers.peer_set import Hello, PeerSet
 from embersill.edge.verdict import Verdict
 
 LOST_AFTER = 2.5  # seconds without its holder after which another takes the duty
@@ -27,13 +27,13 @@
         self,
         name: str,
         me: Hello,
-        roll: Roll,
+        peers: PeerSet,
         agreement: Agreement,
         holder: Callable[[], str],
         held: Callable[[State, str, str], State | None],
     ) -> None:
         """`name`: on the ring. `holder`: by the record as it is in force here. `held`: lays another one."""
-        self.name, self.me, self.roll, self.agreement = name, me, roll, agreement
+        self.name, self.me, self.peers, self.agreement = name, me, peers, agreement
         self.holder, self.held = holder, held
         self.again_at = 0.0
         self.lost_at: float | None = None  # since when the holder is not linked
@@ -54,7 +54,7 @@
 
     def take_over(self, holder: str) -> None:
         """Takes the duty of a holder that has been lost for a while, if it is next by the ring."""
-        there = self.roll.core
+        there = self.peers.core
         if holder in there:
             self.lost_at = None
             return
@@ -66,7 +66,7 @@
 
     def hand_over(self) -> None:
         """This gateway leaves: it names who goes on."""
-        others = [name for name in self.roll.core if name != self.me.name]
+        others = [name for name in self.peers.core if name != self.me.name]
         if self.holder() == self.me.name and others and self.agreement.votes:
             self.pass_on(self.me.name, by_place(self.name, others)[0])
 
--- a/embersill/edge/election.py
+++ b/embersill/edge/consensus/election.py
@@ -4,6 +4,10 @@
 first roster, by single-decree Paxos (Lamport 2001, "Paxos Made Simple"). What an acceptor has answered for is
 on its disk before the answer leaves, so that a seed that is started again goes on as the same acceptor. One
 that has forgotten (it has no disk, or lost it) does not vote any more.
+
+A seed whose disk is blank may have lost it, or may have died before its first save. It gets a vote again only
+once all other seeds have answered it: each promises to take nothing older, and tells what it took, or is
+blank as well. Whatever had been decided before, some seed that was not lost tells of it.
 """
 
 from __future__ import annotations
@@ -54,7 +58,21 @@
     promised: VoteBallot
 
 
-Body = Prepare | Promise | Propose | Accepted | Outbid
+class Recall(msgspec.Struct, frozen=True, tag="recall"):
+    """As `Prepare`, by a seed whose disk is blank, which is told the same `seeds`."""
+
+    ballot: VoteBallot
+    seeds: tuple[str, ...]
+
+
+class Blank(msgspec.Struct, frozen=True, tag="blank"):
+    """The answer to `Recall` of a seed that has no vote either."""
+
+    ballot: VoteBallot
+
+
+Question = Prepare | Propose | Recall
+Body = Prepare | Promise | Propose | Accepted | Outbid | Recall | Blank
 Reply = Callable[[Body], None]
 
 
@@ -65,7 +83,7 @@
         """`vote`: None for a gateway that is no seed, or has forgotten what it answered for."""
         self.vote, self.effects = vote, effects
 
-    def prepare(self, asked: Prepare, reply: Reply) -> None:
+    def prepare(self, asked: Prepare | Recall, reply: Reply) -> None:
         """Promises a ballot unless a later one is promised."""
         vote = self.vote
         if vote is None:
@@ -105,13 +123,14 @@
         self.ballot = NO_BALLOT
         self.promises: dict[str, Promise] = {}  # by the acceptor's IP number
         self.accepted: set[str] = set()  # IP numbers
+        self.blank: set[str] = set()  # IP numbers of those without a vote
         self.proposed: Roster | None = None
 
     def next(self) -> VoteBallot:
         """Begins another attempt, under a ballot that nobody has used."""
         self.highest += 1
         self.ballot = VoteBallot(self.highest, self.ip, self.life)
-        self.promises, self.accepted, self.proposed = {}, set(), None
+        self.promises, self.accepted, self.blank, self.proposed = {}, set(), set(), None
         return self.ballot
 
     def seen(self, ballot: VoteBallot) -> None:
@@ -129,9 +148,15 @@
         vote: Vote | None,
         effects: Effects,
         elected: Callable[[Roster], None],
+        blank_seeds: tuple[str, ...] = (),
     ) -> None:
-        """`life`: names this life of the process. `elected` hears the roster that is decided."""
+        """`life`: names this life of the process. `elected` hears the roster that is decided.
+
+        `blank_seeds`: the seeds' IP numbers, for a seed whose disk is blank; empty for all others.
+        """
         self.ip, self.effects, self.elected = ip, effects, elected
+        self.blank_seeds = blank_seeds
+        self.open: Callable[[], bool] = lambda: True  # whether no roster is known here yet
         self.acceptor = Acceptor(vote, effects)
         self.ballots = Ballots(ip, life)
         self.roster: Callable[[], Roster | None] = lambda: None  # the one that this gateway would propose
@@ -147,7 +172,19 @@
     def seeds(self) -> tuple[str, ...]:
         """IP numbers of all acceptors."""
         vote = self.acceptor.vote
-        return vote.seeds if vote is not None else ()
+        return vote.seeds if vote is not None else self.blank_seeds
+
+    @property
+    def blank(self) -> bool:
+        """True for a seed without a vote that may ask for one."""
+        return not self.votes and bool(self.blank_seeds)
+
+    def recall(self) -> None:
+        """Asks all other seeds what this one may have forgotten."""
+        ballot = self.ballots.next()
+        for name in self.linked():
+            if self.address_of(name) in self.seeds:
+                self.send(name, Recall(ballot, self.blank_seeds))
 
     def attempt(self) -> None:
         """Asks all seeds for their votes, under a new ballot."""
@@ -168,19 +205,21 @@
     def heard(self, peer: str, told: object) -> None:
         """A seed's question or answer; msgspec.ValidationError for something else."""
         body = msgspec.convert(told, Body)
-        if isinstance(body, Prepare | Propose):
-            return self.asked(body, lambda answer: self.send(peer, answer))
+        if isinstance(body, Question):
+            return self.asked(body, lambda answer: self.send(peer, answer)) if self.open() else None
         address = self.address_of(peer)
         return self.answered(address, body) if address in self.seeds else None
 
-    def asked(self, body: Prepare | Propose, reply: Reply) -> None:
+    def asked(self, body: Question, reply: Reply) -> None:
         """A question to this gateway's vote."""
         self.ballots.seen(body.ballot)
-        if not self.votes:
+        if isinstance(body, Recall) and body.seeds != self.seeds:
             return None
-        if isinstance(body, Prepare):
-            return self.acceptor.prepare(body, reply)
-        return self.acceptor.accept(body, reply)
+        if self.blank and isinstance(body, Recall):
+            return reply(Blank(body.ballot))
+        if isinstance(body, Propose):
+            return self.acceptor.accept(body, reply)
+        return self.acceptor.prepare(body, reply)
 
     def answered(self, address: str | None, body: Body) -> None:
         """An acceptor's answer to the attempt under way; answers to earlier ones count for nothing."""
@@ -188,12 +227,27 @@
             return self.ballots.seen(body.promised)
         if address is None or body.ballot != self.ballots.ballot:
             return None
+        if self.blank:
+            return self.recalled(address, body)
         if isinstance(body, Promise):
             return self.promised(address, body)
         if isinstance(body, Accepted):
             return self.taken(address)
         return None
 
+    def recalled(self, address: str, body: Body) -> None:
+        """With all other seeds' answers this one has a vote, and what they took stands in it."""
+        ballots = self.ballots
+        if isinstance(body, Promise):
+            ballots.promises[address] = body
+        elif isinstance(body, Blank):
+            ballots.blank.add(address)
+        if {self.ip, *ballots.promises, *ballots.blank} != set(self.seeds):
+            return
+        newest = max(ballots.promises.values(), key=lambda one: one.accepted, default=None)
+        accepted, roster = (newest.accepted, newest.roster) if newest is not None else (NO_BALLOT, None)
+        self.acceptor.keep(Vote(self.blank_seeds, ballots.ballot, accepted, roster), lambda: None)
+
     def promised(self, address: str, promise: Promise) -> None:
         """With a majority's promises the newest roster that one of them took is proposed, else one's own."""
         ballots = self.ballots
--- a/embersill/edge/founding.py
+++ b/embersill/edge/consensus/founding.py
@@ -11,10 +11,10 @@
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 
-from embersill.edge.agreement import Agreement
-from embersill.edge.document import EMPTY
-from embersill.edge.election import Election
-from embersill.edge.membership import (
+from embersill.edge.consensus.agreement import Agreement
+from embersill.edge.configuration.document import EMPTY
+from embersill.edge.consensus.election import Election
+from embersill.edge.consensus.membership import (
     MOST_SEATS,
     Candidate,
     Requirements,
@@ -22,8 +22,8 @@
     next_members,
     shortfall,
 )
-from embersill.edge.records import Effects, Roster, Seat, Vote
-from embersill.edge.roll import Hello, Roll
+from embersill.edge.records import Effects, Roster, Seat, Stored
+from embersill.edge.peers.peer_set import Hello, PeerSet
 
 SETTLED = 1.0  # seconds without a further core machine after which the first epoch is founded
 AT_LATEST = 4.0  # seconds after which it is founded with those that are there
@@ -59,7 +59,7 @@
     return ordered[:seats]
 
 
-def order(ip: str) -> tuple[int, ...]:
+def address_key(ip: str) -> tuple[int, ...]:
     """An IP number as a key to sort by."""
     return tuple(int(part) for part in ip.split("."))
 
@@ -68,19 +68,23 @@
     """One gateway's part in the first epoch and in changes of membership."""
 
     def __init__(
-        self, me: Hello, roll: Roll, agreement: Agreement, vote: Vote | None, effects: Effects, now: float
+        self, me: Hello, peers: PeerSet, agreement: Agreement, stored: Stored, effects: Effects, now: float
     ) -> None:
-        """`vote`: this gateway's in the election of the first epoch, if it has one."""
-        self.election = Election(me.ip, me.boot, vote, effects, self.elected)
+        """`stored`: what this gateway's disk has; its vote in the election of the first epoch, or none."""
+        seeds = tuple(sorted([*peers.seeds, me.ip], key=address_key))
+        blank_seeds = seeds if me.core and me.ip in peers.all_seeds and stored.blank else ()
+        vote = stored.vote if stored.begun is None else None
+        self.election = Election(me.ip, me.boot, vote, effects, self.elected, blank_seeds)
+        self.election.open = lambda: agreement.roster is None
         self.election.roster = self.first_roster
-        self.election.linked = lambda: list(roll.linked)
-        self.election.address_of = lambda name: roll.linked[name].ip if name in roll.linked else None
+        self.election.linked = lambda: list(peers.linked)
+        self.election.address_of = lambda name: peers.linked[name].ip if name in peers.linked else None
         self.requirements = Requirements()
         self.stopping = False  # this gateway was told to stop
         self.up_to_date: Callable[[str], bool] = lambda name: True  # whether a linked gateway has the state
         self.wanted: dict[str, Seat] = {}  # the membership that is to be, and since when it is
         self.wanted_at = now
-        self.me, self.roll, self.agreement = me, roll, agreement
+        self.me, self.peers, self.agreement = me, peers, agreement
         self.born = self.last = now
         self.found = 0
         self.missing: dict[str, float] = {}  # members that are not linked, since when
@@ -95,27 +99,42 @@
 
     def begin(self, now: float) -> None:
         """Proposes the first roster, if this is the one to do it."""
-        if not self.election.votes or now < self.again_at or self.me.ip != self.proposer():
+        if now < self.again_at:
+            return
+        if self.election.blank:
+            return self.recall(now)
+        if not self.election.votes or self.me.ip != self.proposer():
             return
         cores = self.founders()
         if len(cores) != self.found:
             self.found, self.last = len(cores), now
         if not cores or now - self.born < SETTLED:
             return
-        all_there = len(self.roll.linked) >= len(self.roll.seeds)
+        all_there = len(self.peers.linked) >= len(self.peers.seeds)
         if now - self.last >= SETTLED and all_there or now - self.born >= AT_LATEST:
-            place = sorted(self.election.seeds, key=order).index(self.me.ip) + 1
-            self.again_at = now + ELECT_EVERY * place
+            self.wait_in_turn(now)
             self.election.attempt()
 
+    def recall(self, now: float) -> None:
+        """Asks for a vote, if this seed has been started with a blank disk and all other seeds are linked."""
+        linked = {hello.ip for hello in self.peers.linked.values() if hello.core}
+        if now - self.born >= AT_LATEST and linked.issuperset({*self.election.seeds} - {self.me.ip}):
+            self.wait_in_turn(now)
+            self.election.recall()
+
+    def wait_in_turn(self, now: float) -> None:
+        """The next attempt comes the later the higher this seed's address is, so that they don't collide."""
+        place = sorted(self.election.seeds, key=address_key).index(self.me.ip) + 1
+        self.again_at = now + ELECT_EVERY * place
+
     def proposer(self) -> str:
         """The IP number of the seed whose turn it is: the lowest of those that are linked and vote."""
-        linked = [hello.ip for hello in self.roll.linked.values() if hello.elector]
-        return min([self.me.ip, *linked], key=order)
+        linked = [hello.ip for hello in self.peers.linked.values() if hello.elector]
+        return min([self.me.ip, *linked], key=address_key)
 
     def founders(self) -> list[Hello]:
         """Core machines that could be the first members."""
-        return [hello for hello in self.roll.cores() if hello.epoch == 0]
+        return [hello for hello in self.peers.cores() if hello.epoch == 0]
 
     def first_roster(self) -> Roster | None:
         """The roster that this gateway would propose; None while it sees no core machine."""
@@ -131,7 +150,7 @@
     def send_all(self) -> None:
         """Every member is told the state that the first epoch begins with, by the founder itself."""
         roster = self.agreement.roster
-        for name in self.roll.linked:
+        for name in self.peers.linked:
             if roster is not None and name in roster.members:
                 told = self.agreement.told_roster(name)
                 self.agreement.effects.mail.append((name, {**told, "base": EMPTY}))
@@ -140,7 +159,7 @@
         """Seals this epoch if another membership is wanted; members act one after the other, not at once."""
         roster = self.agreement.roster
         assert roster is not None
-        there = sorted(self.roll.core)
+        there = sorted(self.peers.core)
         self.missing = {name: self.missing.get(name, now) for name in roster.members if name not in there}
         wanted = next_members(
             roster,
@@ -159,7 +178,7 @@
 
     def zones(self) -> dict[str, str]:
         """Zones of the gateways that are known here, by name."""
-        seen = {name: hello.zone for name, hello in self.roll.seen.items()}
+        seen = {name: hello.zone for name, hello in self.peers.seen.items()}
         return {**seen, self.me.name: self.me.zone}
 
     def shortfall(self) -> Shortfall | None:
@@ -171,11 +190,11 @@
         """Machines of the core without a seat that have the state in force: a learner counts for nothing."""
         return [
             Candidate(hello.name, hello.zone, Seat(hello.ip, hello.store))
-            for hello in self.roll.cores()
+            for hello in self.peers.cores()
             if hello.name not in roster.members and not hello.leaving and self.up_to_date(hello.name)
         ]
 
     def leaving(self) -> set[str]:
         """Members that were told to stop, as far as they are linked."""
-        linked = {hello.name for hello in self.roll.linked.values() if hello.leaving}
+        linked = {hello.name for hello in self.peers.linked.values() if hello.leaving}
         return linked | {self.me.name} if self.stopping else linked
--- a/embersill/edge/persistence.py
+++ b/embersill/edge/consensus/persistence.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from embersill.council.register import Register
-from embersill.edge.document import State
+from embersill.edge.configuration.document import State
 from embersill.edge.records import Begun, Effects, Remembered, Roster, Save
 
 BEGUN = "begun"  # names of the values on disk
--- a/embersill/edge/proposals.py
+++ b/embersill/edge/consensus/proposals.py
@@ -9,9 +9,9 @@
 from expression import Error, Ok
 
 from embersill.council.member import How
-from embersill.edge import rollouts
-from embersill.edge.document import Refusal, State, changed, stand, write_version
-from embersill.edge.lapses import ordered
+from embersill.edge.configuration import rollouts
+from embersill.edge.configuration.document import Refusal, State, changed, revision, write_version
+from embersill.edge.configuration.lapses import ordered
 from embersill.edge.records import Value
 from embersill.edge.verdict import Verdict, done, refused, unknown
 
@@ -69,7 +69,7 @@
     def verdict(self, how: How, state: State) -> Verdict:
         """What is told of it; `state`: the newest, where a majority has answered."""
         if how is How.DONE or how is How.REFUSED and self.known:
-            version, number = stand(state)
+            version, number = revision(state)
             return done({"version": write_version(version), "number": number})
         if how is How.REFUSED and self.refusal is not None:
             return refused(self.refusal.status, self.refusal.why)
--- a/embersill/edge/doors.py
+++ b/embersill/edge/dataplane/handlers.py
@@ -1,4 +1,4 @@
-"""The doors of a gateway: clients' requests, the platform's question if it is ready, calls of control."""
+"""What becomes of requests at a gateway's listeners: clients', the platform's probe, calls of control."""
 
 from __future__ import annotations
 
@@ -14,8 +14,8 @@
 
 import msgspec
 
-from embersill.edge.dialect import OWN
-from embersill.edge.routes import PUBLIC, Table, Way
+from embersill.edge.dataplane.dialect import OWN
+from embersill.edge.configuration.routes import PUBLIC, Table, Way
 from embersill.edge.verdict import Verdict
 from embersill.net.calls import BadRequest
 from embersill.net.clients import ClientConnection, Exchange
@@ -40,7 +40,7 @@
 EARLY_PART = 0.4  # and of the time that its client has left: the rest must do for a backend
 STOPPED_FOR = 15.0, 30.0  # seconds that callers of a tenant that is squeezed to nought are told to wait
 MOST_LEFT = 3600.0  # seconds that a client may say it waits
-INTERFACE = Path(__file__).with_name("openapi.json")
+INTERFACE = Path(__file__).parent.with_name("openapi.json")
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,7 +69,7 @@
     until: float
 
 
-class FrontDesk:
+class ClientHandler:
     """Turns clients' requests into calls: their route, whose key they carry, how long they may take."""
 
     def __init__(self, driver: Callable[[], Driver], chance: random.Random) -> None:
@@ -198,7 +198,7 @@
         return b"".join(parts)
 
 
-class ReadyDesk:
+class ReadinessHandler:
     """The platform asks whether new clients may come here."""
 
     def __init__(self, is_ready: Callable[[], bool]) -> None:
@@ -224,7 +224,7 @@
     }
 
 
-class ControlDesk:
+class ControlHandler:
     """Calls of backends and operators, as the interface's file has them."""
 
     def __init__(self, call: Callable[[str, Any, Callable[[Verdict], None]], None]) -> None:
--- a/embersill/edge/flights.py
+++ b/embersill/edge/dataplane/in_flight.py
@@ -11,7 +11,7 @@
 SHARED_AFTER = 0.002  # seconds in which what has moved is gathered
 
 
-class Flights:
+class InFlight:
     """Between the data plane's attempts and the node's loads."""
 
     def __init__(
--- a/embersill/edge/tally.py
+++ b/embersill/edge/dataplane/tally.py
@@ -85,7 +85,7 @@
         self.lenders[action.customer] = self.clock() + LENT_WITHIN
         if lender == self.node.me.name:
             self.later(0.0, lambda: self.lend_here(asked))
-        elif lender in self.node.roll.linked:
+        elif lender in self.node.peers.linked:
             message = {
                 "kind": "borrow",
                 "units": asked,
--- a/embersill/edge/loads.py
+++ b/embersill/edge/discovery/loads.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Mapping
 
 from embersill.edge.records import Effects
-from embersill.edge.roll import Hello, Roll
+from embersill.edge.peers.peer_set import Hello, PeerSet
 
 GATHER = 0.004  # seconds in which sums are gathered, where a zone has few gateways
 FEW = 6  # gateways of a zone
@@ -21,8 +21,8 @@
 class Loads:
     """How many requests all gateways have out at each backend, gathered by the keeper of its zone."""
 
-    def __init__(self, me: Hello, roll: Roll, effects: Effects) -> None:
-        self.me, self.roll, self.effects = me, roll, effects
+    def __init__(self, me: Hello, peers: PeerSet, effects: Effects) -> None:
+        self.me, self.peers, self.effects = me, peers, effects
         self.out: dict[str, dict[str, int]] = {}  # as keeper: by gateway, what it has out at each backend
         self.sums: dict[str, int] = {}
         self.changed: set[str] = set()
@@ -40,7 +40,7 @@
         for backend, (zone, count) in out.items():
             if self.mine.get(backend, 0) != count:
                 self.mine[backend], self.zones[backend] = count, zone
-                by_keeper.setdefault(self.roll.keeper(zone), {})[backend] = count
+                by_keeper.setdefault(self.peers.keeper(zone), {})[backend] = count
         for keeper, told in by_keeper.items():
             if keeper == self.me.name:
                 self.told(keeper, told)
@@ -54,7 +54,7 @@
     def linked(self, peer: str) -> None:
         """A keeper that is there again knows nothing of what is out from here."""
         out = {b: count for b, count in self.mine.items() if count}
-        told = {b: count for b, count in out.items() if self.roll.keeper(self.zones[b]) == peer}
+        told = {b: count for b, count in out.items() if self.peers.keeper(self.zones[b]) == peer}
         if told:
             self.effects.mail.append((peer, {"kind": "out", "out": told}))
 
@@ -62,7 +62,7 @@
         """What a lost gateway had out ends with it; a lost keeper's sums grow old."""
         gone = self.out.pop(peer, {})
         self.add({b: -count for b, count in gone.items()})
-        if peer in (self.roll.roster.members if self.roll.roster is not None else ()):
+        if peer in (self.peers.roster.members if self.peers.roster is not None else ()):
             self.on_others({b: -1 for b in self.zones})
 
     def forget(self, backend: str) -> None:
@@ -92,7 +92,7 @@
                 self.changed.add(backend)
         if self.changed and not self.gathering:
             self.gathering = True
-            zone = sum(hello.zone == self.me.zone for hello in self.roll.linked.values())
+            zone = sum(hello.zone == self.me.zone for hello in self.peers.linked.values())
             self.on_due(GATHER * max(1.0, zone / FEW))
 
     def flush(self) -> None:
@@ -104,7 +104,7 @@
             if not count:
                 del self.sums[backend]
         message = {"kind": "loads", "out": told}
-        for name, hello in self.roll.linked.items():
+        for name, hello in self.peers.linked.items():
             if hello.zone == self.me.zone:
                 self.effects.mail.append((name, message))
         self.heard(told)
--- a/embersill/edge/cell.py
+++ b/embersill/edge/discovery/registry.py
@@ -1,4 +1,4 @@
-"""A zone's cell: who keeps which backends, news of them to all gateways, and when a leaving one is answered.
+"""The registry of backends: who keeps those of which zone, news of them, when a leaving one is answered.
 
 News is numbered by its sender and pushed down the held links; each gateway acknowledges by number. Calls are
 acknowledged only while a majority vouches for this member (`lease`), and a leaving backend's only once the
@@ -13,10 +13,10 @@
 import msgspec
 
 from embersill.edge.records import Effects, Message, Save
-from embersill.edge.check import checked
-from embersill.edge.departures import NO_MAJORITY, Answered, Departures, Leaving
-from embersill.edge.instances import DRAINING, GONE, Beat, Instance, Instances, instance
-from embersill.edge.roll import Hello, Roll
+from embersill.edge.configuration.check import checked
+from embersill.edge.discovery.departures import NO_MAJORITY, Answered, Departures, Leaving
+from embersill.edge.discovery.instances import DRAINING, GONE, Beat, Instance, Instances, instance
+from embersill.edge.peers.peer_set import Hello, PeerSet
 from embersill.edge.verdict import done, refused
 
 MISSED = 3.4  # beats that did not come, after which a backend is taken to be lost
@@ -25,11 +25,11 @@
 ADOPT_AFTER = 12.0  # seconds without its keeper after which a backend's next keeper watches over it
 
 
-class Cell:
+class Registry:
     """The registry of backends at one gateway: heartbeats where it is a member, news everywhere."""
 
-    def __init__(self, me: Hello, roll: Roll, effects: Effects, beat_every: float) -> None:
-        self.me, self.roll, self.effects, self.beat_every = me, roll, effects, beat_every
+    def __init__(self, me: Hello, peers: PeerSet, effects: Effects, beat_every: float) -> None:
+        self.me, self.peers, self.effects, self.beat_every = me, peers, effects, beat_every
         self.instances = Instances(me.name)
         self.number = 0  # of the news told by this gateway
         self.departures = Departures()
@@ -55,24 +55,24 @@
     def save(self, now: float) -> None:
         """Writes the list, so that after a loss of power backends need not be waited for."""
         self.save_at, self.changed, self.saving = now + SAVE_EVERY, False, True
-        self.counted = self.roll.count
+        self.counted = self.peers.count
         known = [one for one in self.instances.known.values() if one.open]
 
         def then(good: bool) -> None:
             self.saving = False
 
         self.effects.saves.append(Save("backends", msgspec.msgpack.encode(known), then))
-        self.effects.saves.append(Save("gateways", b"%d" % self.roll.count, then))
+        self.effects.saves.append(Save("gateways", b"%d" % self.peers.count, then))
 
     @property
     def in_core(self) -> bool:
         """True where this gateway is a member of the core."""
-        return self.me.name in self.roll.core
+        return self.me.name in self.peers.core
 
     def linked(self, peer: str) -> None:
         """All that is known goes to a peer that was not linked: each may lack what the other has."""
         known = list(self.instances.known.values())
-        if known and (self.in_core or self.roll.linked[peer].core):
+        if known and (self.in_core or self.peers.linked[peer].core):
             self.effects.mail.append((peer, self.message(known)))
 
     def unlinked(self, peer: str) -> None:
@@ -112,7 +112,7 @@
         """Sends news to all linked gateways, where this is a member of the core; its number."""
         if self.in_core:
             message = self.message(news)
-            self.effects.mail.extend((name, message) for name in self.roll.linked if name != but)
+            self.effects.mail.extend((name, message) for name in self.peers.linked if name != but)
         return self.number
 
     def call(self, what: str, body: Any, answered: Answered, now: float) -> None:
@@ -127,8 +127,8 @@
         one = instance(name, read.ok, self.me.name)
         news = self.instances.hear(one, now)
         self.restored.pop(name, None)
-        keeper = self.roll.keeper(one.zone)
-        control = self.me.control if keeper in ("", self.me.name) else self.roll.linked[keeper].control
+        keeper = self.peers.keeper(one.zone)
+        control = self.me.control if keeper in ("", self.me.name) else self.peers.linked[keeper].control
         if one.state in (DRAINING, GONE):
             return self.leave(name, news, answered)
         self.tell(news)
@@ -146,7 +146,7 @@
         if self.departures.joins(leaving, answered):
             return None
         number = self.tell(news) or self.push([known])
-        return self.departures.begin(leaving, number, self.roll.linked, answered, self.now)
+        return self.departures.begin(leaving, number, self.peers.linked, answered, self.now)
 
     def tick(self, now: float) -> None:
         """What is due by now: departures, backends that fell silent, the disk."""
@@ -154,7 +154,7 @@
         self.departures.tick(now)
         if self.in_core:
             self.judge(now)
-            self.changed = self.changed or self.roll.count > self.counted
+            self.changed = self.changed or self.peers.count > self.counted
             if self.changed and not self.saving and now >= self.save_at:
                 self.save(now)
         self.instances.forget(now)
@@ -171,7 +171,7 @@
         it does not hear may be heard by the others. Who has no majority of the core judges none of them, and
         silence counts for it only once it has one again.
         """
-        if self.roll.on_its_own:
+        if self.peers.on_its_own:
             self.instances.excuse(now)
             return
         self.tell(self.instances.silent(now, MISSED * self.beat_every))
@@ -179,9 +179,9 @@
 
     def adopt(self, now: float) -> None:
         """Watches over what a lost keeper kept, so that a backend that ended with it is noticed."""
-        away = self.roll.away
-        orphans = self.instances.orphans([*self.roll.linked, self.me.name])
+        away = self.peers.away
+        orphans = self.instances.orphans([*self.peers.linked, self.me.name])
         lost = [one for one in orphans if now - away.get(one.keeper, now) >= ADOPT_AFTER]
-        mine = [one for one in lost if not one.lost and self.roll.keeper(one.zone) == self.me.name]
+        mine = [one for one in lost if not one.lost and self.peers.keeper(one.zone) == self.me.name]
         if mine:
             self.instances.adopt(mine, now)
--- a/embersill/edge/local.py
+++ b/embersill/edge/local.py
@@ -9,7 +9,7 @@
 
 from expression import Error, Ok, Result
 
-from embersill.edge.check import checked
+from embersill.edge.configuration.check import checked
 from embersill.net.discovery import read_address
 
 VARIABLE = "EMBERSILL_CONFIG"
--- a/embersill/edge/node.py
+++ b/embersill/edge/node.py
@@ -13,26 +13,26 @@
 
 import msgspec
 
-from embersill.edge.agreement import Agreement
+from embersill.edge.consensus.agreement import Agreement
 from embersill.edge.records import Effects, Message, Roster, Save, Stored
 from embersill.edge.calls import Answered, Calls
-from embersill.edge.cell import Cell
-from embersill.edge.demand import DEMAND, Demand
-from embersill.edge.distribution import Distribution
-from embersill.edge.document import EMPTY, State, read_document, stand
-from embersill.edge.election import KIND as ELECTION
-from embersill.edge.figures import Figures
-from embersill.edge.founding import Founding
-from embersill.edge.membership import Shortfall
-from embersill.edge.policy import AS_BUILT, Policy
-from embersill.edge.reports import Reports
-from embersill.edge.roll import Hello, Roll
-from embersill.edge.lapses import lapses_of, squeezed
-from embersill.edge.roller import Roller
-from embersill.edge.rollouts import in_force, label
-from embersill.edge.loads import Loads
-from embersill.edge.squeezer import Squeezer
-from embersill.edge.routes import Table
+from embersill.edge.discovery.registry import Registry
+from embersill.edge.quota.demand import DEMAND, Demand
+from embersill.edge.consensus.distribution import Distribution
+from embersill.edge.configuration.document import EMPTY, State, read_document, revision
+from embersill.edge.consensus.election import KIND as ELECTION
+from embersill.edge.throttling.figures import Figures
+from embersill.edge.consensus.founding import Founding
+from embersill.edge.consensus.membership import Shortfall
+from embersill.edge.configuration.policy import AS_BUILT, Policy
+from embersill.edge.throttling.reports import Reports
+from embersill.edge.peers.peer_set import Hello, PeerSet
+from embersill.edge.configuration.lapses import lapses_of, squeezed
+from embersill.edge.rollout.roller import Roller
+from embersill.edge.configuration.rollouts import in_force, label
+from embersill.edge.discovery.loads import Loads
+from embersill.edge.throttling.squeezer import Squeezer
+from embersill.edge.configuration.routes import Table
 from embersill.edge.status import status_of
 from embersill.edge.verdict import done
 
@@ -58,37 +58,37 @@
         now: float,
         beat_every: float = 1.0,
     ) -> None:
-        vote = stored.vote if stored.begun is None else None
-        hello = msgspec.structs.replace(hello, elector=vote is not None)
+        elector = stored.vote is not None and stored.begun is None
+        hello = msgspec.structs.replace(hello, elector=elector)
         self.me, self.now = hello, now
         self.effects = Effects()
-        self.roll = Roll(hello, seeds, self.effects, now)
+        self.peers = PeerSet(hello, seeds, self.effects, now)
         self.agreement = Agreement(
             hello.name, hello.store, self.effects, chance, now, life=hello.boot, durable=hello.core
         )
         self.agreement.on_state, self.agreement.on_roster = self.adopt, self.seated
-        self.cell = Cell(hello, self.roll, self.effects, beat_every)
-        self.cell.on_news = self.news
-        self.cell.speaks = self.agreement.speaks
-        self.cell.departures.confirm = self.agreement.confirm
-        self.loads = Loads(hello, self.roll, self.effects)
-        self.founding = Founding(hello, self.roll, self.agreement, vote, self.effects, now)
+        self.registry = Registry(hello, self.peers, self.effects, beat_every)
+        self.registry.on_news = self.news
+        self.registry.speaks = self.agreement.speaks
+        self.registry.departures.confirm = self.agreement.confirm
+        self.loads = Loads(hello, self.peers, self.effects)
+        self.founding = Founding(hello, self.peers, self.agreement, stored, self.effects, now)
         self.distribution = Distribution(
-            self.roll, self.agreement, self.effects, lambda: self.state, lambda: self.now
+            self.peers, self.agreement, self.effects, lambda: self.state, lambda: self.now
         )
-        self.founding.up_to_date = lambda name: self.distribution.has(name, stand(self.state))
-        self.demand = Demand(hello, self.roll, self.agreement, self.effects, now)
+        self.founding.up_to_date = lambda name: self.distribution.has(name, revision(self.state))
+        self.demand = Demand(hello, self.peers, self.agreement, self.effects, now)
         self.state: State = EMPTY
         self.table: Table | None = None
         self.on_table: Callable[[Table], None] = lambda table: None
         self.on_view: Callable[[str], None] = lambda text: None  # hears what has changed, a line each
-        self.reports = Reports(hello, self.roll, self.effects)
-        self.calls = Calls(hello, self.roll, self.agreement, self.cell, self.reports, self.effects)
+        self.reports = Reports(hello, self.peers, self.effects)
+        self.calls = Calls(hello, self.peers, self.agreement, self.registry, self.reports, self.effects)
         self.calls.when_applied = self.distribution.when_applied
         self.calls.on_view = lambda text: self.on_view(text)
         state, up_to_date = lambda: self.state, self.distribution.all_up_to_date
-        self.squeezer = Squeezer(hello, self.roll, self.agreement, state, up_to_date, now)
-        self.roller = Roller(hello, self.roll, self.agreement, self.effects, state, up_to_date, now)
+        self.squeezer = Squeezer(hello, self.peers, self.agreement, state, up_to_date, now)
+        self.roller = Roller(hello, self.peers, self.agreement, self.effects, state, up_to_date, now)
         self.handlers = self.handlers_by_kind()
         self.duties = self.squeezer.duty, self.roller.duty
         for duty in self.duties:
@@ -96,16 +96,16 @@
         self.policy: tuple[Policy, str] = AS_BUILT, ""  # in force here, and the stretch of a run
         # hears of another policy, or another stretch of a run, in which requests are counted
         self.on_policy: Callable[[Policy, str], None] = lambda policy, label: None
-        self.cell.on_view = lambda text: self.on_view(text)
+        self.registry.on_view = lambda text: self.on_view(text)
         self.short: Shortfall | None = None  # what the members can't bear, as told last
         self.viewed = ("", 0)  # its zone's keeper and the number of gateways, as told last
         self.on_instances: Callable[[list[Any]], None] = lambda news: None
         self.agreement.load(stored)
         if self.agreement.roster is not None:
-            self.roll.roster = self.agreement.roster
+            self.peers.roster = self.agreement.roster
         self.backends = stored.backends
         if stored.gateways:
-            self.roll.remember(stored.gateways, now)
+            self.peers.remember(stored.gateways, now)
 
     def begin(self) -> None:
         """Once whoever drives this listens: backends that the disk remembers serve from the start.
@@ -113,7 +113,7 @@
         The configuration doesn't: until a majority's word has come, here or by way of a member that has it,
         what the disk has may be old.
         """
-        news = self.cell.restore(self.backends, self.now)
+        news = self.registry.restore(self.backends, self.now)
         if news:
             self.on_instances(news)
 
@@ -123,47 +123,47 @@
         self.me = msgspec.structs.replace(self.me, leaving=True)
         for duty in self.duties:
             duty.hand_over()
-        self.effects.mail.extend((name, {"kind": "leaving"}) for name in self.roll.linked)
+        self.effects.mail.extend((name, {"kind": "leaving"}) for name in self.peers.linked)
 
     # links
 
     def hello(self) -> Hello:
         """How this gateway presents itself to a peer."""
         epoch = self.agreement.roster.epoch if self.agreement.roster is not None else 0
-        version, orders = stand(self.state)
+        version, orders = revision(self.state)
         return msgspec.structs.replace(self.me, epoch=epoch, version=version, orders=orders)
 
     def linked(self, hello: Hello, now: float) -> None:
         """A peer has presented itself. Each tells the other what it may lack."""
         self.now = max(self.now, now)
-        self.roll.link(hello, self.now)
+        self.peers.link(hello, self.now)
         mail = self.effects.mail
         roster = self.agreement.roster
         if roster is not None and roster.epoch > hello.epoch:
             mail.append((hello.name, self.agreement.told_roster(hello.name)))
         self.distribution.linked(hello)
         self.agreement.met(hello.name)
-        self.cell.linked(hello.name)
+        self.registry.linked(hello.name)
         self.loads.linked(hello.name)
         self.on_view(f"link peer={hello.name} up zone={hello.zone} core={hello.core}")
-        if self.roll.told >= 0:
-            mail.append((hello.name, {"kind": "present", "count": self.roll.told}))
+        if self.peers.told >= 0:
+            mail.append((hello.name, {"kind": "present", "count": self.peers.told}))
         self.demand.linked(hello)
         self.distribution.catch_up()
 
     def unlinked(self, name: str, now: float) -> None:
         """The link to a peer is gone."""
         self.now = max(self.now, now)
-        self.roll.unlink(name, self.now)
+        self.peers.unlink(name, self.now)
         self.distribution.unlinked(name)
-        self.cell.unlinked(name)
+        self.registry.unlinked(name)
         self.loads.unlinked(name)
         self.on_view(f"link peer={name} down")
 
     def heard(self, peer: str, message: Message, now: float) -> None:
         """A message of a linked peer's; KeyError, TypeError, ValueError for one that is none."""
         self.now = self.agreement.now = max(self.now, now)
-        self.roll.hear(peer, self.now)
+        self.peers.hear(peer, self.now)
         kind = message["kind"]
         if kind in ANSWERS and message["life"] != self.me.boot:
             return  # an earlier life of this process had asked, under a number that may stand for another now
@@ -184,10 +184,10 @@
             "version": self.distribution.heard,
             "fetch": lambda peer, told: self.distribution.hand_on(peer),
             "document": lambda peer, told: self.adopt(msgspec.convert(told["state"], State)),
-            "present": self.roll.heard,
-            "leaving": lambda peer, told: self.roll.leaves(peer),
-            "news": lambda peer, told: self.cell.heard(peer, told, self.now),
-            "known": lambda peer, told: self.cell.heard(peer, told, self.now),
+            "present": self.peers.heard,
+            "leaving": lambda peer, told: self.peers.leaves(peer),
+            "news": lambda peer, told: self.registry.heard(peer, told, self.now),
+            "known": lambda peer, told: self.registry.heard(peer, told, self.now),
             "out": lambda peer, told: self.loads.told(peer, counts(told["out"])),
             "loads": lambda peer, told: self.loads.heard(counts(told["out"])),
             "report": self.reports.gather.heard,
@@ -203,9 +203,9 @@
         """What is due by now in every part."""
         self.now = max(self.now, now)
         self.agreement.tick(self.now)
-        self.roll.tick(self.now)
+        self.peers.tick(self.now)
         self.founding.tick(self.now)
-        self.cell.tick(self.now)
+        self.registry.tick(self.now)
         self.demand.tick(self.now)
         self.squeezer.tick(self.now)
         self.reports.gather.tick(self.now)
@@ -219,7 +219,7 @@
     def view(self) -> None:
         """Tells who keeps this zone's backends, how many gateways there are, and whether the members suffice,
         where that has changed."""
-        viewed = self.roll.keeper(self.me.zone), self.roll.count
+        viewed = self.peers.keeper(self.me.zone), self.peers.count
         if viewed != self.viewed:
             self.viewed = viewed
             self.on_view(f"view keeper={viewed[0] or 'none'} gateways={viewed[1]}")
@@ -230,14 +230,14 @@
 
     def seated(self, roster: Roster) -> None:
         """Other members have taken over the configuration."""
-        self.roll.roster = roster
+        self.peers.roster = roster
         self.on_view(f"members epoch={roster.epoch} names={','.join(sorted(roster.members))}")
-        for name in self.roll.linked:
+        for name in self.peers.linked:
             self.effects.mail.append((name, self.agreement.told_roster(name)))
 
     def adopt(self, state: State) -> None:
         """A newer version is in force here from now on; an older one never is again."""
-        if stand(state) <= stand(self.state):
+        if revision(state) <= revision(self.state):
             return
         document = read_document(state["document"])
         if document.is_error():
--- /dev/null
+++ b/embersill/edge/peers/__init__.py
@@ -0,0 +1,1 @@
+"""The other gateways: who is linked, and the links themselves."""
--- a/embersill/edge/links.py
+++ b/embersill/edge/peers/links.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from embersill.edge.roll import Hello
+from embersill.edge.peers.peer_set import Hello
 
 MOST_LINE = 16 << 20  # bytes: a configuration of some 20,000 routes fits
 MOST_UNSENT = 32 << 20  # bytes that wait for a peer, after which it is given up
--- a/embersill/edge/roll.py
+++ b/embersill/edge/peers/peer_set.py
@@ -37,12 +37,13 @@
     leaving: bool = False  # it was told to stop: another is to take its seat, if there is one
 
 
-class Roll:
+class PeerSet:
     """The gateways that are linked here, and those that were."""
 
     def __init__(self, me: Hello, seeds: Iterable[str], effects: Effects, now: float) -> None:
         """`seeds`: IP numbers."""
-        self.me, self.seeds, self.effects = me, [ip for ip in seeds if ip != me.ip], effects
+        self.all_seeds = list(seeds)
+        self.me, self.seeds, self.effects = me, [ip for ip in self.all_seeds if ip != me.ip], effects
         self.linked: dict[str, Hello] = {}
         self.seen: dict[str, Hello] = {}  # all that were ever linked here, and not for too long away
         self.away: dict[str, float] = {}  # of these, since when nothing came from them
@@ -91,7 +92,7 @@
         return [hello for hello in (self.me, *self.linked.values()) if hello.core]
 
     def keeper(self, zone: str) -> str:
-        """The core member of a zone's cell: of that zone if one is linked; empty if none is at all."""
+        """The member that keeps a zone's backends: of that zone if one is linked; empty if there is none."""
         core = self.core
         zones = {name: (self.me if name == self.me.name else self.linked[name]).zone for name in core}
         near = sorted(name for name in core if zones[name] == zone)
--- a/embersill/edge/program.py
+++ b/embersill/edge/program.py
@@ -16,20 +16,21 @@
 from expression import Error, Ok, Result
 
 from embersill.edge.records import Save, Stored, Vote
-from embersill.edge.deciding import EdgeGateway
-from embersill.edge.dialect import EdgeDialect
-from embersill.edge.doors import ControlDesk, FrontDesk, ReadyDesk
-from embersill.edge.flights import Flights
-from embersill.edge.instances import GONE, Instance
-from embersill.edge.links import Links
+from embersill.edge.dataplane.gateway import EdgeGateway
+from embersill.edge.dataplane.dialect import EdgeDialect
+from embersill.edge.dataplane.handlers import ControlHandler, ClientHandler, ReadinessHandler
+from embersill.edge.dataplane.in_flight import InFlight
+from embersill.edge.discovery.instances import GONE, Instance
+from embersill.edge.peers.links import Links
 from embersill.edge.local import Local, bound, read_local
-from embersill.edge.membership import Requirements
+from embersill.edge.consensus.membership import Requirements
 from embersill.edge.node import Node
-from embersill.edge.policy import Policy
-from embersill.edge.roll import Hello
-from embersill.edge.routes import WARM_WITHIN, Table, settings_for
-from embersill.edge.store import Store
-from embersill.edge.tally import Tally
+from embersill.edge.consensus.founding import address_key
+from embersill.edge.configuration.policy import Policy
+from embersill.edge.peers.peer_set import Hello
+from embersill.edge.configuration.routes import WARM_WITHIN, Table, settings_for
+from embersill.edge.storage.store import Store
+from embersill.edge.dataplane.tally import Tally
 from embersill.interface import Backend, Configured, ListKind, Settings, Status
 from embersill.net.backends import Pool
 from embersill.net.clients import Front
@@ -92,21 +93,21 @@
         self.node.roller.counts = self.gateway.seen
         self.driver = Driver(self.gateway, self.clock, self.pool)
         self.driver.busy = 503
-        self.flights = Flights(self.node, self.driver.post, self.loop.call_later)
-        self.flights.flushed = self.carry_out
-        self.gateway.attempts.on_flight = self.flights.changed
+        self.in_flight = InFlight(self.node, self.driver.post, self.loop.call_later)
+        self.in_flight.flushed = self.carry_out
+        self.gateway.attempts.on_flight = self.in_flight.changed
         self.tally = Tally(self.node, self.clock, self.driver.post, self.loop.call_later)
         self.tally.flushed = self.carry_out
         self.driver.counter, self.driver.reserve = self.tally, self.tally.borrow
         sums = self.node.demand.sums
         sums.overshoot, sums.slack = bound(local, "quota_overshoot", 0.0), bound(local, "quota_slack", 0.0)
-        self.desk = FrontDesk(lambda: self.driver, self.chance)
-        self.desk.on_stopped = self.node.reports.figures.turned_away
-        self.front = self.door(clients, self.desk, ROOM)
-        self.ready = self.door(32, ReadyDesk(self.is_ready), 0)
-        self.control = self.door(CONTROL_MOST, ControlDesk(self.control_called), CONTROL_ROOM)
+        self.handler = ClientHandler(lambda: self.driver, self.chance)
+        self.handler.on_stopped = self.node.reports.figures.turned_away
+        self.front = self.door(clients, self.handler, ROOM)
+        self.ready = self.door(32, ReadinessHandler(self.is_ready), 0)
+        self.control = self.door(CONTROL_MOST, ControlHandler(self.control_called), CONTROL_ROOM)
         port = local["internal_port_range"][0]
-        self.links = Links(self.node, self.clock, local["ip_address"], port, self.node.roll.targets)
+        self.links = Links(self.node, self.clock, local["ip_address"], port, self.node.peers.targets)
         self.links.flush = self.carry_out
         self.ticker: asyncio.TimerHandle | None = None
         self.stopping = False
@@ -123,7 +124,7 @@
             self.node.table,
             zone=self.local["zone"],
             me=self.me,
-            gateways=max(self.node.roll.count, 1),
+            gateways=max(self.node.peers.count, 1),
             fresh=self.local["first_start"],
             ratio=bound(self.local, "retry_budget_ratio", 0.1),
             slack=bound(self.local, "retry_budget_slack", 10.0),
@@ -152,7 +153,7 @@
         self.front.idle_limit = limits.get("idle_timeout_s", 15.0) + 0.5
         self.gateway.slow(table.squeezed, self.node.figures)
         self.driver.post(Configured(self.settings()))
-        self.desk.begin(table)
+        self.handler.begin(table)
         log.info("configuration version=%d routes=%d", table.version, len(table.document["routes"]))
 
     def policy_came(self, policy: Policy, label: str) -> None:
@@ -184,10 +185,10 @@
 
     def misdirected(self, backend: str) -> None:
         """Another backend is at that address: this one is gone, whatever was told."""
-        cell = self.node.cell
-        one = cell.instances.known.get(backend)
+        registry = self.node.registry
+        one = registry.instances.known.get(backend)
         if one is not None and one.open:
-            cell.tell(cell.instances.merge([msgspec.structs.replace(one, lost=True)], self.clock()))
+            registry.tell(registry.instances.merge([msgspec.structs.replace(one, lost=True)], self.clock()))
 
     def control_called(self, what: str, body: Any, answered: Any) -> None:
         """A call of a backend or an operator."""
@@ -219,9 +220,9 @@
             self.node.tick(self.clock())
             self.links.tick()
             self.tally.tick()
-            self.desk.give_up(self.clock())
-            if self.node.roll.count != self.count:
-                self.count = self.node.roll.count
+            self.handler.give_up(self.clock())
+            if self.node.peers.count != self.count:
+                self.count = self.node.peers.count
                 self.driver.post(Configured(self.settings()))
             self.carry_out()
         except Exception:
@@ -252,7 +253,7 @@
         if read.is_error():
             return log.warning("settings stay as they were: %s", read.error)
         self.local = {**self.local, "seed_nodes": read.ok["seed_nodes"]}
-        self.node.roll.seeds = [
+        self.node.peers.seeds = [
             ip for ip, _ in map(read_address, read.ok["seed_nodes"]) if ip != self.node.me.ip
         ]
         return log.info("settings read again")
@@ -270,7 +271,7 @@
         self.front.close_idle()
         await self.driver.wait_answered(max(end - self.clock() - 5 * SHORT, SHORT))
         self.driver.rescue_all()
-        self.desk.give_up(math.inf)
+        self.handler.give_up(math.inf)
         self.front.close_idle()
         await self.front.wait_drained(4 * SHORT)
         while not self.node.agreement.handover.complete and self.clock() < end:
@@ -301,7 +302,7 @@
 
 def first_vote(local: Local) -> Vote | None:
     """A seed's vote at the very first start of the system, before it has answered anything."""
-    seeds = tuple(read_address(text)[0] for text in local["seed_nodes"])
+    seeds = tuple(sorted((read_address(text)[0] for text in local["seed_nodes"]), key=address_key))
     return Vote(seeds) if local["first_start"] and local["ip_address"] in seeds else None
 
 
--- a/embersill/edge/demand.py
+++ b/embersill/edge/quota/demand.py
@@ -4,12 +4,12 @@
 
 from collections.abc import Callable
 
-from embersill.edge.agreement import Agreement
+from embersill.edge.consensus.agreement import Agreement
 from embersill.edge.records import Effects, Message
-from embersill.edge.ring import by_place
-from embersill.edge.roll import Hello, Roll
-from embersill.edge.routes import Table
-from embersill.edge.sums import Sums
+from embersill.edge.peers.ring import by_place
+from embersill.edge.peers.peer_set import Hello, PeerSet
+from embersill.edge.configuration.routes import Table
+from embersill.edge.quota.sums import Sums
 
 FORGET_EVERY = 0.25  # seconds: a look at all accounts costs tenants times gateways
 DEMAND = frozenset(("use", "holds", "totals", "sliced", "borrow", "lent"))  # kinds of messages
@@ -25,8 +25,8 @@
 class Demand:
     """One gateway's part: it tells and asks, and deals out the quotas that the ring gives it to deal out."""
 
-    def __init__(self, me: Hello, roll: Roll, agreement: Agreement, effects: Effects, now: float) -> None:
-        self.me, self.roll, self.agreement, self.effects = me, roll, agreement, effects
+    def __init__(self, me: Hello, peers: PeerSet, agreement: Agreement, effects: Effects, now: float) -> None:
+        self.me, self.peers, self.agreement, self.effects = me, peers, agreement, effects
         self.sums = Sums(now)
         self.table: Table | None = None
         self.silent: set[str] = set()  # as of the last look
@@ -47,7 +47,7 @@
         if now - self.forgot_at >= FORGET_EVERY:
             self.forgot_at = now
             self.sums.forget(now)
-        silent = set(self.roll.silent(now))
+        silent = set(self.peers.silent(now))
         fell, self.silent = silent - self.silent, silent
         if not fell:
             return
@@ -93,11 +93,11 @@
 
     def slices(self, gateway: str, tenants: list[str], now: float) -> dict[str, float]:
         """A gateway's slices of the quotas that are dealt out here."""
-        silent, made = self.roll.silent(now), {}
+        silent, made = self.peers.silent(now), {}
         for tenant in tenants:
             rate, burst = self.quota(tenant)
             if rate > 0:
-                made[tenant] = self.sums.slice(tenant, gateway, rate, self.roll.count, silent, now, burst)
+                made[tenant] = self.sums.slice(tenant, gateway, rate, self.peers.count, silent, now, burst)
         return made
 
     def lend(
@@ -108,9 +108,9 @@
         One that begins to borrow goes by the even slice until it is told the one that is counted with here.
         """
         begins = [tenant for tenant in asked if not self.sums.told(tenant, gateway, now)]
-        silent, lent = self.roll.silent(now), {}
+        silent, lent = self.peers.silent(now), {}
         for tenant, units in asked.items():
             rate, burst = self.quota(tenant)
             exact = self.table is not None and tenant in self.table.squeezed
-            lent[tenant] = self.sums.lend(tenant, units, rate, burst, self.roll.count, silent, now, exact)
-        return lent, self.slices(gateway, begins, now) if begins and self.roll.count > 1 else {}
+            lent[tenant] = self.sums.lend(tenant, units, rate, burst, self.peers.count, silent, now, exact)
+        return lent, self.slices(gateway, begins, now) if begins and self.peers.count > 1 else {}
--- a/embersill/edge/records.py
+++ b/embersill/edge/records.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from embersill.council.register import Whole
-from embersill.edge.document import State
+from embersill.edge.configuration.document import State
 
 Message = dict[str, Any]
 
@@ -72,11 +72,16 @@
     store: str  # the disk's nonce
     begun: Begun | None = None
     remembered: Remembered | None = None
-    backends: bytes = b""  # the cell's last list, as it saved it
+    backends: bytes = b""  # the registry's last list, as it saved it
     gateways: int = 0  # how many there were
     state: State | None = None  # what was last in force here, once it was chosen
     vote: Vote | None = None  # a seed's, of the first epoch
 
+    @property
+    def blank(self) -> bool:
+        """True where nothing but a name was ever written."""
+        return msgspec.structs.replace(self, store="") == Stored("")
+
 
 @dataclass(slots=True)
 class Save:
--- /dev/null
+++ b/embersill/edge/rollout/__init__.py
@@ -0,0 +1,1 @@
+"""Staged policies: carried out step by step by one gateway at a time. No I/O."""
--- a/embersill/edge/judging.py
+++ b/embersill/edge/rollout/judging.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 from typing import Literal
 
-from embersill.edge.watch import BOUNDS, Seen
+from embersill.edge.rollout.watch import BOUNDS, Seen
 
 FALSE_ALARM, MISSED = 0.001, 0.01  # error rates of each test
 BUNCHED = 3.0  # requests that say no more than one: what is late comes in bunches
--- a/embersill/edge/roller.py
+++ b/embersill/edge/rollout/roller.py
@@ -13,15 +13,25 @@
 
 import msgspec
 
-from embersill.edge.agreement import Agreement
+from embersill.edge.consensus.agreement import Agreement
 from embersill.edge.records import Effects
-from embersill.edge.document import Run, State
-from embersill.edge.duty import Duty
-from embersill.edge.judging import Finding, judged
-from embersill.edge.reports import Gather
-from embersill.edge.roll import Hello, Roll
-from embersill.edge.rollouts import bound, harmed, held, passed, rested, rollouts_of, step_at, stretch, told
-from embersill.edge.watch import ByKind, added
+from embersill.edge.configuration.document import Run, State
+from embersill.edge.consensus.duty import Duty
+from embersill.edge.rollout.judging import Finding, judged
+from embersill.edge.throttling.reports import Gather
+from embersill.edge.peers.peer_set import Hello, PeerSet
+from embersill.edge.configuration.rollouts import (
+    bound,
+    harmed,
+    held,
+    passed,
+    rested,
+    rollouts_of,
+    step_at,
+    stretch,
+    told,
+)
+from embersill.edge.rollout.watch import ByKind, added
 
 DUTY = "rollouts"  # its name on the ring
 ASK_EVERY = 1.0  # seconds between questions what gateways have seen
@@ -41,7 +51,7 @@
     def __init__(
         self,
         me: Hello,
-        roll: Roll,
+        peers: PeerSet,
         agreement: Agreement,
         effects: Effects,
         state: Callable[[], State],
@@ -49,10 +59,10 @@
         now: float,
     ) -> None:
         """`state`: what is in force here. `known`: True once all linked gateways have it."""
-        self.me, self.roll, self.state, self.known = me, roll, state, known
-        self.duty = Duty(DUTY, me, roll, agreement, lambda: rollouts_of(state())["holder"], held)
+        self.me, self.peers, self.state, self.known = me, peers, state, known
+        self.duty = Duty(DUTY, me, peers, agreement, lambda: rollouts_of(state())["holder"], held)
         self.counts: Callable[[], dict[str, ByKind]] = dict  # what this gateway has seen, by stretch
-        self.gather = Gather("watch", me, roll, effects, lambda _: msgspec.to_builtins(self.counts()))
+        self.gather = Gather("watch", me, peers, effects, lambda _: msgspec.to_builtins(self.counts()))
         self.key: tuple[Any, ...] = ()  # the stretch that the run is in
         self.spent = 0.0  # seconds in it
         self.looked = self.asked_at = now
@@ -146,4 +156,4 @@
 
     def zones(self) -> dict[str, str]:
         """Gateways that are there, and their zones."""
-        return {self.me.name: self.me.zone, **{name: one.zone for name, one in self.roll.linked.items()}}
+        return {self.me.name: self.me.zone, **{name: one.zone for name, one in self.peers.linked.items()}}
--- a/embersill/edge/status.py
+++ b/embersill/edge/status.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from embersill.edge.document import write_version
+from embersill.edge.configuration.document import write_version
 
 if TYPE_CHECKING:
     from embersill.edge.node import Node
@@ -15,7 +15,7 @@
     roster, version = node.agreement.roster, node.state["version"]
     short = node.founding.shortfall()
     backends: dict[str, dict[str, int]] = {}
-    for one in node.cell.instances.known.values():
+    for one in node.registry.instances.known.values():
         state = "lost" if one.lost else one.state
         counts = backends.setdefault(one.service, {})
         counts[state] = counts.get(state, 0) + 1
@@ -26,12 +26,12 @@
         "core": node.me.core,
         "votes": node.agreement.votes,
         "epoch": roster.epoch if roster is not None else 0,
-        "members": {name: name in node.roll.core for name in sorted(roster.members if roster else ())},
+        "members": {name: name in node.peers.core for name in sorted(roster.members if roster else ())},
         "short": str(short) if short is not None else "",
-        "keeper": node.roll.keeper(node.me.zone),
-        "gateways": node.roll.count,
-        "linked": sorted(node.roll.linked),
-        "behind": sorted(name for name in node.roll.linked if not node.distribution.has(name, (version, 0))),
+        "keeper": node.peers.keeper(node.me.zone),
+        "gateways": node.peers.count,
+        "linked": sorted(node.peers.linked),
+        "behind": sorted(name for name in node.peers.linked if not node.distribution.has(name, (version, 0))),
         "backends": backends,
         "summed_here": len(node.demand.sums.accounts),
     }
--- /dev/null
+++ b/embersill/edge/storage/__init__.py
@@ -0,0 +1,1 @@
+"""What a gateway keeps on disk."""
--- a/embersill/edge/store.py
+++ b/embersill/edge/storage/store.py
@@ -22,9 +22,9 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from embersill.edge.election import VOTE
+from embersill.edge.consensus.election import VOTE
 from embersill.edge.records import Begun, Remembered, Save, Stored, Vote
-from embersill.edge.document import State
+from embersill.edge.configuration.document import State
 
 FORMAT = b"embersill-1"
 MOST_PART = 0.75  # of the disk that the map may take
--- a/embersill/edge/figures.py
+++ b/embersill/edge/throttling/figures.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from embersill.edge.document import Order
+from embersill.edge.configuration.document import Order
 
 # seconds; a last class is over all of them
 BOUNDS = (0.0, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0)
--- a/embersill/edge/reports.py
+++ b/embersill/edge/throttling/reports.py
@@ -9,8 +9,8 @@
 import msgspec
 
 from embersill.edge.records import Effects, Message
-from embersill.edge.figures import Figures, Labelled, added, told
-from embersill.edge.roll import Hello, Roll
+from embersill.edge.throttling.figures import Figures, Labelled, added, told
+from embersill.edge.peers.peer_set import Hello, PeerSet
 from embersill.edge.verdict import Verdict, done
 
 WITHIN = 0.4  # seconds for gateways to tell theirs
@@ -32,9 +32,11 @@
 class Gather:
     """One kind of question: what each gateway has to say of a subject, as far as it says it in time."""
 
-    def __init__(self, kind: str, me: Hello, roll: Roll, effects: Effects, own: Callable[[str], Any]) -> None:
+    def __init__(
+        self, kind: str, me: Hello, peers: PeerSet, effects: Effects, own: Callable[[str], Any]
+    ) -> None:
         """`kind`: of the message that asks; its answer's ends in `ed`. `own`: what is told from here."""
-        self.kind, self.me, self.roll, self.effects, self.own = kind, me, roll, effects, own
+        self.kind, self.me, self.peers, self.effects, self.own = kind, me, peers, effects, own
         self.open: dict[int, Asked] = {}
         self.number = 0
 
@@ -43,9 +45,9 @@
         self.number += 1
         if len(self.open) >= MOST_OPEN:
             self.end(min(self.open))
-        asked = self.open[self.number] = Asked(told, now + WITHIN, set(self.roll.linked))
+        asked = self.open[self.number] = Asked(told, now + WITHIN, set(self.peers.linked))
         asked.found[self.me.name] = self.own(subject)
-        for name in self.roll.linked:
+        for name in self.peers.linked:
             self.effects.mail.append(
                 (name, {"kind": self.kind, "n": self.number, "life": self.me.boot, "subject": subject})
             )
@@ -82,10 +84,10 @@
 class Reports:
     """What lapsed tenants and all others met, over all gateways."""
 
-    def __init__(self, me: Hello, roll: Roll, effects: Effects) -> None:
+    def __init__(self, me: Hello, peers: PeerSet, effects: Effects) -> None:
         self.figures = Figures()
         self.gather = Gather(
-            "report", me, roll, effects, lambda tenant: msgspec.to_builtins(self.figures.of(tenant))
+            "report", me, peers, effects, lambda tenant: msgspec.to_builtins(self.figures.of(tenant))
         )
 
     def ask(self, tenant: str, answered: Callable[[Verdict], None], now: float) -> None:
--- a/embersill/edge/squeezer.py
+++ b/embersill/edge/throttling/squeezer.py
@@ -10,11 +10,11 @@
 
 from collections.abc import Callable
 
-from embersill.edge.agreement import Agreement
-from embersill.edge.document import Order, State
-from embersill.edge.duty import Change, Duty
-from embersill.edge.lapses import bound, ended, held, lapses_of, told
-from embersill.edge.roll import Hello, Roll
+from embersill.edge.consensus.agreement import Agreement
+from embersill.edge.configuration.document import Order, State
+from embersill.edge.consensus.duty import Change, Duty
+from embersill.edge.configuration.lapses import bound, ended, held, lapses_of, told
+from embersill.edge.peers.peer_set import Hello, PeerSet
 
 HEARD_WITHIN = 1.5  # seconds that a step waits for gateways that are linked and do not say that they have it
 DUTY = "lapses"  # its name on the ring
@@ -26,7 +26,7 @@
     def __init__(
         self,
         me: Hello,
-        roll: Roll,
+        peers: PeerSet,
         agreement: Agreement,
         state: Callable[[], State],
         known: Callable[[], bool],
@@ -34,7 +34,7 @@
     ) -> None:
         """`state`: what is in force here. `known`: True once all linked gateways have it."""
         self.state, self.known = state, known
-        self.duty = Duty(DUTY, me, roll, agreement, lambda: lapses_of(state())["holder"], held)
+        self.duty = Duty(DUTY, me, peers, agreement, lambda: lapses_of(state())["holder"], held)
         self.spent: dict[str, tuple[int, float]] = {}  # by tenant: step, and how long it was in force here
         self.number, self.since = -1, 0.0  # of the orders as seen last, and since when
         self.looked = now
--- a/embersill/lab/edge/control.py
+++ b/embersill/lab/edge/control.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from embersill.edge.document import digest, read_version
+from embersill.edge.configuration.document import digest, read_version
 from embersill.edge.node import Node
 from embersill.edge.verdict import Verdict
 from embersill.lab.edge.fleet import Fleet, Machine, change
@@ -439,7 +439,7 @@
     heard = keeper.call("beat", beat("draining", 2, name="i-1"))
     while not heard:
         fleet.run(0.0005)
-    known = node_of(edge).cell.instances.known.get("i-1")
+    known = node_of(edge).registry.instances.known.get("i-1")
     good = heard[0].status >= 500 or known is not None and not known.open
     report.expect(good, "a leaving backend was acknowledged before a linked gateway knew")
     return report
--- a/embersill/lab/edge/control_command.py
+++ b/embersill/lab/edge/control_command.py
@@ -29,6 +29,7 @@
     first_losses,
     founder_gone,
     founder_lost_as_elected,
+    killed_before_the_first_save,
 )
 from embersill.lab.edge.worst_days import worst_day, worst_day_of_five, worst_day_of_six
 
@@ -38,7 +39,13 @@
     "membership": (second_loss, second_loss_of_five, last_copy, refused_epoch),
     "catching_up": (caught_up, wiped_caught_up),
     "answers": (earlier_life, earlier_news),
-    "first_start": (first_losses, all_killed, founder_gone, founder_lost_as_elected),
+    "first_start": (
+        first_losses,
+        all_killed,
+        killed_before_the_first_save,
+        founder_gone,
+        founder_lost_as_elected,
+    ),
     "drawn_days": (worst_day, worst_day_of_five, worst_day_of_six),
 }
 SLOW = {sent_again_late, caught_up, wiped_caught_up}  # hundreds of changes each: a tenth of the runs
--- a/embersill/lab/edge/control_fences.py
+++ b/embersill/lab/edge/control_fences.py
@@ -31,14 +31,15 @@
     module: str = SCENARIOS
 
 
-CELL = "embersill.edge.cell"
-DISTRIBUTION = "embersill.edge.distribution"
+CELL = "embersill.edge.discovery.registry"
+DISTRIBUTION = "embersill.edge.consensus.distribution"
 FIRST_START = "embersill.lab.edge.first_start"
-DEPARTURES, DOCUMENT = "embersill.edge.departures", "embersill.edge.document"
-ELECTION = "embersill.edge.election"
-HANDOVER, LEASE = "embersill.edge.handover", "embersill.edge.lease"
-MEMBERSHIP, NODE = "embersill.edge.membership", "embersill.edge.node"
-PERSISTENCE = "embersill.edge.persistence"
+DEPARTURES, DOCUMENT = "embersill.edge.discovery.departures", "embersill.edge.configuration.document"
+FOUNDING = "embersill.edge.consensus.founding"
+ELECTION = "embersill.edge.consensus.election"
+HANDOVER, LEASE = "embersill.edge.consensus.handover", "embersill.edge.consensus.lease"
+MEMBERSHIP, NODE = "embersill.edge.consensus.membership", "embersill.edge.node"
+PERSISTENCE = "embersill.edge.consensus.persistence"
 GUARDED = (
     Guarded(
         "restarted_alone",
@@ -217,6 +218,18 @@
         ),
         FIRST_START,
     ),
+    Guarded(
+        "founder_lost_as_elected",
+        Fence(
+            "recalled-by-all",
+            ELECTION,
+            "a seed that lost its disk votes again without having asked all others",
+            "if {self.ip, *ballots.promises, *ballots.blank} != set(self.seeds):",
+            "if False:",
+            ((FOUNDING, "linked.issuperset({*self.election.seeds} - {self.me.ip})", "linked"),),
+        ),
+        FIRST_START,
+    ),
 )
 BY_NAME = {guarded.fence.name: guarded for guarded in GUARDED}
 
--- a/embersill/lab/edge/first_start.py
+++ b/embersill/lab/edge/first_start.py
@@ -17,6 +17,7 @@
 STEP = 0.02  # seconds between looks at the rosters
 ELECTED_ABOUT = 1.0, 1.3  # seconds after the start in which the seeds elect, if nothing disturbs them
 STARTING = 0.0, 2.5  # seconds after the start in which other losses come
+BEFORE_FIRST_SAVE = 0.001  # seconds after the start
 ALL_BACK_AFTER = 5.0  # seconds after the start
 FINE_STEP = 0.0005  # seconds between looks where the moment of the election matters
 AWAY_FOR = 8.0  # seconds for which founder and others are lost: others have founded by then
@@ -69,7 +70,7 @@
 
 
 def first_losses(seed: int) -> Report:
-    """Any process is killed at any moment of the first start, some are cut off, and one disk may be lost."""
+    """Any process is killed at any moment of the first start; some disks are lost, or machines cut off."""
     chance = random.Random(f"{seed} first losses")
     cores = chance.choice(list(BORNE))
     report, fleet = Report(), Fleet(seed, cores, 2)
@@ -79,10 +80,10 @@
         if chance.random() < 0.5:
             moment = chance.uniform(*chance.choice((STARTING, ELECTED_ABOUT)))
             kill_for(fleet, machine, moment, chance.choice((0.1, 0.5, 2.0)))
-    if chance.random() < 0.3:
-        wiped = chance.choice(fleet.machines[:cores])
+    disks_lost = chance.randrange(BORNE[cores] + 1)
+    for wiped in chance.sample(fleet.machines[:cores], disks_lost):
         kill_for(fleet, wiped, chance.uniform(*STARTING), 1.0, wiped=True)
-    if chance.random() < 0.6:
+    if disks_lost < BORNE[cores] and chance.random() < 0.8:
         names = {machine.name for machine in fleet.machines if chance.random() < 0.4}
         fleet.kernel.at(chance.uniform(*STARTING), fleet.cut, names)
         fleet.kernel.at(chance.uniform(3.0, ALL_BACK_AFTER), fleet.heal)
@@ -110,6 +111,23 @@
     return report
 
 
+def killed_before_the_first_save(seed: int) -> Report:
+    """Members are killed before anything of theirs is on disk: they come back as if they had lost it."""
+    chance = random.Random(f"{seed} killed before the first save")
+    cores = chance.choice(list(BORNE))
+    report, fleet = Report(), Fleet(seed, cores, 2)
+    fleet.require(BORNE[cores])
+    killed = chance.sample(fleet.machines[:cores], chance.randrange(1, cores + 1))
+    for machine in killed:
+        kill_for(fleet, machine, BEFORE_FIRST_SAVE, chance.uniform(0.3, 3.0), wiped=True)
+    rosters = FirstRosters(fleet)
+    rosters.run(ALL_BACK_AFTER + FOUNDED_WITHIN)
+    report.expect(ordered(fleet, 1, 0, fleet.machines) is not None, "nobody founds any more")
+    rosters.run(1.0)
+    report.expect(len(rosters.found) == 1, f"there are {len(rosters.found)} first rosters")
+    return report
+
+
 def founder_gone(seed: int) -> Report:
     """The seed that would propose is gone for good, or cut off, from some moment of the first start on."""
     chance = random.Random(f"{seed} founder gone")
@@ -129,7 +147,7 @@
 
 def founder_lost_as_elected(seed: int) -> Report:
     """The founder and a member that is no seed are lost as the roster is decided, before anybody is told; the
-    other seeds are killed at that moment, or go on. They find what was decided, not what they see."""
+    other seeds go on, are killed at that moment, or one loses its disk. They find what was decided."""
     chance = random.Random(f"{seed} founder lost as elected")
     report, fleet = Report(), Fleet(seed, 4, 1)
     rosters = FirstRosters(fleet)
@@ -141,9 +159,10 @@
     now = fleet.kernel.now
     kill_for(fleet, founder, now, AWAY_FOR)
     kill_for(fleet, further, now, AWAY_FOR)
-    if chance.random() < 0.5:
-        for machine in other_seeds:
-            kill_for(fleet, machine, now, 0.2)
+    lost = chance.choice(("none", "killed", "wiped"))
+    if lost != "none":
+        kill_for(fleet, other_seeds[0], now, 0.2, wiped=lost == "wiped")
+        kill_for(fleet, other_seeds[1], now, 0.2)
     rosters.run(AWAY_FOR + FOUNDED_WITHIN)
     report.expect(ordered(fleet, 1, 0, fleet.machines) is not None, "no order is taken once all are back")
     report.expect(len(rosters.found) == 1, f"there are {len(rosters.found)} first rosters")
--- a/embersill/lab/edge/fleet.py
+++ b/embersill/lab/edge/fleet.py
@@ -8,12 +8,13 @@
 
 import msgspec
 
-from embersill.edge.election import VOTE
+from embersill.edge.consensus.election import VOTE
+from embersill.edge.consensus.founding import address_key
 from embersill.edge.records import Begun, Remembered, Save, Stored, Vote
-from embersill.edge.document import NO_LAPSES, Order, State, stand
-from embersill.edge.membership import Requirements
+from embersill.edge.configuration.document import NO_LAPSES, Order, State, revision
+from embersill.edge.consensus.membership import Requirements
 from embersill.edge.node import Node
-from embersill.edge.roll import Hello
+from embersill.edge.peers.peer_set import Hello
 from embersill.edge.verdict import Verdict
 from embersill.world import kernel as world
 from embersill.world.kernel import Kernel
@@ -85,7 +86,7 @@
     def vote(self, first: bool) -> Vote | None:
         """A seed's vote on the first epoch: new at the very first start, from its disk later."""
         if first and self.ip in self.fleet.seeds:
-            vote = Vote(tuple(self.fleet.seeds))
+            vote = Vote(tuple(sorted(self.fleet.seeds, key=address_key)))
             if self.core:
                 self.disk[VOTE] = msgspec.json.encode(vote)
             return vote
@@ -227,10 +228,10 @@
                 if self.hears(machine.name, name):
                     machine.up[name] = now
                     if machine.node is not None:
-                        machine.node.roll.hear(name, now)
+                        machine.node.peers.hear(name, now)
                 elif now - heard > SILENT:
                     self.unlink(machine, self.by_name[name])
-            for ip in machine.node.roll.targets() if machine.node is not None else ():
+            for ip in machine.node.peers.targets() if machine.node is not None else ():
                 other = next((m for m in self.machines if m.ip == ip), None)
                 if other is None or other.node is None:
                     continue
@@ -294,12 +295,12 @@
         if machine.node is None:
             return
         state: State = machine.node.state
-        assert stand(state) >= machine.seen, f"{machine.name} went back to {stand(state)}"
-        machine.seen = stand(state)
+        assert revision(state) >= machine.seen, f"{machine.name} went back to {revision(state)}"
+        machine.seen = revision(state)
         if state is not machine.checked:
             machine.checked = state
             self.check_state(state)
-        for name, one in machine.node.cell.instances.known.items():
+        for name, one in machine.node.registry.instances.known.items():
             ranks = {"ready": 0, "draining": 1, "gone": 2}
             before = machine.states.get(name, "ready")
             assert ranks[one.state] >= ranks[before], f"{name} went back to {one.state}"
@@ -308,7 +309,7 @@
     def check_state(self, state: State) -> None:
         text = msgspec.json.encode(state["document"], order="deterministic").decode()
         assert self.in_force.setdefault(state["version"], text) == text, f"two versions {state['version']}"
-        number = stand(state)[1]
+        number = revision(state)[1]
         self.ordered_at.setdefault(number, self.kernel.now)
         for tenant, order in (state.get("lapses") or NO_LAPSES)["orders"].items():
             known = self.orders.setdefault(number, {}).setdefault(tenant, order)
--- a/embersill/lab/edge/lapsing.py
+++ b/embersill/lab/edge/lapsing.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 from statistics import pstdev
 
-from embersill.edge.lapses import Slowed, lapses_of
+from embersill.edge.configuration.lapses import Slowed, lapses_of
 from embersill.lab.edge.fleet import Machine, change
 from embersill.lab.edge.town import (
     PATIENCE, WINDOW, Gateway, Outcomes, Town, at_part, share, waits, with_tenants, worth,
--- a/embersill/lab/edge/news.py
+++ b/embersill/lab/edge/news.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from embersill.edge.links import BEAT_EVERY
+from embersill.edge.peers.links import BEAT_EVERY
 from embersill.lab.edge.fleet import Machine
 from embersill.lab.edge.town import Gateway, Town, with_tenants
 
--- a/embersill/lab/edge/rolling.py
+++ b/embersill/lab/edge/rolling.py
@@ -5,11 +5,11 @@
 from dataclasses import replace
 from typing import Any
 
-from embersill.edge.deciding import EdgeAttempts
-from embersill.edge.document import Run, State
-from embersill.edge.policy import Policy
-from embersill.edge.rollouts import rollouts_of
-from embersill.edge.stages import Site
+from embersill.edge.dataplane.attempts import EdgeAttempts
+from embersill.edge.configuration.document import Run, State
+from embersill.edge.configuration.policy import Policy
+from embersill.edge.configuration.rollouts import rollouts_of
+from embersill.edge.configuration.stages import Site
 from embersill.interface import Outcome, Repeats, Send
 from embersill.lab.edge.fleet import change
 from embersill.lab.edge.town import Gateway, Town
--- a/embersill/lab/edge/town.py
+++ b/embersill/lab/edge/town.py
@@ -14,11 +14,11 @@
 from dataclasses import dataclass
 from typing import Any
 
-from embersill.edge.deciding import EdgeGateway
-from embersill.edge.flights import Flights
-from embersill.edge.policy import Policy
-from embersill.edge.routes import Table, settings_for
-from embersill.edge.tally import Tally
+from embersill.edge.dataplane.gateway import EdgeGateway
+from embersill.edge.dataplane.in_flight import InFlight
+from embersill.edge.configuration.policy import Policy
+from embersill.edge.configuration.routes import Table, settings_for
+from embersill.edge.dataplane.tally import Tally
 from embersill.interface import (
     AttemptEnded, Backend, BackendList, Borrow, Configured, Count, Event, Fail, ListKind, Outcome, Refuse,
     Request, Send, SetTimer, Settings, Status, TimerDue,
@@ -80,7 +80,7 @@
         self.decider = EdgeGateway(self.settings(), self.fleet.chance.getrandbits(32), self.fleet.kernel.now)
         self.tally = Tally(self.node, lambda: self.fleet.kernel.now, self.post, self.process.after)
         self.tally.flushed = self.carry_out
-        self.flights = Flights(self.node, self.post, self.process.after)
+        self.flights = InFlight(self.node, self.post, self.process.after)
         self.flights.flushed = self.carry_out
         self.decider.attempts.on_flight = self.flights.changed
         self.node.on_table = self.table_came
@@ -115,8 +115,8 @@
     def tick(self) -> None:
         if self.node is not None:
             self.tally.tick()
-            if self.node.roll.count != self.count:
-                self.count = self.node.roll.count
+            if self.node.peers.count != self.count:
+                self.count = self.node.peers.count
                 self.post(Configured(self.settings()))
         super().tick()
 
--- a/embersill/lab/edge/trying.py
+++ b/embersill/lab/edge/trying.py
@@ -22,7 +22,7 @@
 
 from expression import Error, Ok, Result
 
-from embersill.edge.check import checked
+from embersill.edge.configuration.check import checked
 from embersill.lab.edge.fleet import Machine
 from embersill.lab.edge.town import PATIENCE, Outcomes, Town, at_part, waits, with_tenants, worth
 
--- a/tests/edge/test_connection_states.py
+++ b/tests/edge/test_connection_states.py
@@ -14,7 +14,7 @@
 
 import pytest
 
-from embersill.edge.dialect import EdgeDialect
+from embersill.edge.dataplane.dialect import EdgeDialect
 from embersill.interface import Outcome
 from embersill.net.backends import RESTED, Answer, Attempt, BackendConnection, Pool
 from tests.bed import run
--- a/tests/edge/test_control.py
+++ b/tests/edge/test_control.py
@@ -7,11 +7,11 @@
 
 import pytest
 
-from embersill.edge.document import EMPTY, MOST_TAKEN, changed, digest
-from embersill.edge.lease import LEASE_SLACK, Lease
-from embersill.edge.membership import Candidate, Requirements, next_members
+from embersill.edge.configuration.document import EMPTY, MOST_TAKEN, changed, digest
+from embersill.edge.consensus.lease import LEASE_SLACK, Lease
+from embersill.edge.consensus.membership import Candidate, Requirements, next_members
 from embersill.edge.records import Roster, Seat
-from embersill.edge.serial import Finished, Serial
+from embersill.edge.consensus.serial import Finished, Serial
 from embersill.lab.edge import control, days, sites
 from embersill.lab.edge.fleet import change
 from embersill.lab.edge.troubles import FAULTS, PLANNED
--- a/tests/edge/test_first_start.py
+++ b/tests/edge/test_first_start.py
@@ -5,13 +5,25 @@
 import random
 from pathlib import Path
 
+import msgspec
 import pytest
 
-from embersill.edge.election import Accepted, Acceptor, Body, Outbid, Prepare, Promise, Propose
+from embersill.edge.consensus.election import (
+    Accepted,
+    Acceptor,
+    Blank,
+    Body,
+    Election,
+    Outbid,
+    Prepare,
+    Promise,
+    Propose,
+    Recall,
+)
 from embersill.edge.local import Local
 from embersill.edge.program import first_vote
 from embersill.edge.records import Effects, Roster, Seat, Vote, VoteBallot
-from embersill.edge.store import Store
+from embersill.edge.storage.store import Store
 from embersill.lab.edge import first_start
 
 SEEDS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
@@ -29,6 +41,11 @@
     assert not first_start.all_killed(seed).wrong
 
 
+@pytest.mark.parametrize("seed", range(8))
+def test_seeds_that_died_before_their_first_save_get_votes_from_all_others(seed: int) -> None:
+    assert not first_start.killed_before_the_first_save(seed).wrong
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_another_seed_founds_in_the_place_of_one_that_is_lost(seed: int) -> None:
     assert not first_start.founder_gone(seed).wrong
@@ -128,5 +145,40 @@
     assert again.begin(lambda: "other").ok.vote == Vote(SEEDS)
     again.environment.close()
     empty = Store(tmp_path / "wiped", 64.0)
-    assert empty.begin(lambda: "third").ok.vote is None
+    assert empty.begin(lambda: "third").ok.blank
+    empty.write({"gateways": b"3"})
     empty.environment.close()
+    known = Store(tmp_path / "wiped", 64.0)
+    assert not known.begin(lambda: "fourth").ok.blank, "it was part of a system"
+    known.environment.close()
+
+
+def seed_without_vote(seeds: tuple[str, ...] = SEEDS) -> tuple[Election, Effects]:
+    effects = Effects()
+    election = Election(SEEDS[0], "life", None, effects, lambda roster: None, seeds)
+    election.linked = lambda: ["n2", "n3"]
+    election.address_of = lambda name: {"n2": SEEDS[1], "n3": SEEDS[2]}.get(name)
+    return election, effects
+
+
+def test_a_blank_seed_takes_over_what_the_others_took_and_asks_all_of_them() -> None:
+    election, effects = seed_without_vote()
+    election.recall()
+    asked = [name for name, _ in effects.mail]
+    ballot, older = election.ballots.ballot, VoteBallot(0, SEEDS[1], "b")
+    election.heard("n2", msgspec.to_builtins(Promise(ballot, older, ONE)))
+    assert asked == ["n2", "n3"] and election.blank
+    election.heard("n3", msgspec.to_builtins(Blank(ballot)))
+    assert election.votes and election.acceptor.vote == Vote(SEEDS, ballot, older, ONE)
+
+
+def test_a_blank_seed_that_knows_a_roster_or_was_told_other_seeds_answers_no_recall() -> None:
+    recall = msgspec.to_builtins(Recall(VoteBallot(1, SEEDS[1], "b"), SEEDS))
+    election, effects = seed_without_vote()
+    election.heard("n2", recall)
+    assert [told["body"]["type"] for _, told in effects.mail] == ["blank"]
+    election.open = lambda: False
+    election.heard("n2", recall)
+    stranger, its_effects = seed_without_vote(("10.0.0.7", "10.0.0.8", SEEDS[0]))
+    stranger.heard("n2", recall)
+    assert len(effects.mail) == 1 and not its_effects.mail
--- a/tests/edge/test_lapses.py
+++ b/tests/edge/test_lapses.py
@@ -11,11 +11,21 @@
 import pytest
 
 from embersill.edge.command import parser, read_ladder
-from embersill.edge.document import State, changed
-from embersill.edge.doors import FrontDesk
-from embersill.edge.figures import MOST_LABELS, Figures
-from embersill.edge.lapses import MOST_ORDERS, STOPPED, bound, ended, held, lapses_of, ordered, squeezed, told
-from embersill.edge.routes import Table
+from embersill.edge.configuration.document import State, changed
+from embersill.edge.dataplane.handlers import ClientHandler
+from embersill.edge.throttling.figures import MOST_LABELS, Figures
+from embersill.edge.configuration.lapses import (
+    MOST_ORDERS,
+    STOPPED,
+    bound,
+    ended,
+    held,
+    lapses_of,
+    ordered,
+    squeezed,
+    told,
+)
+from embersill.edge.configuration.routes import Table
 from embersill.lab.edge.control import founded
 from embersill.lab.edge import plots
 from embersill.lab.edge.fleet import Fleet, change, document
@@ -35,13 +45,21 @@
     return {"version": 1, "document": document(1, rate=rate), "taken": []}
 
 
-@pytest.mark.parametrize("body, status, why", [
-    (wish(ladder=[]), 400, "1 to 32"), (wish(ladder=[{"share": 0.5}, {"share": 0.2}]), 400, "lasts_s"),
-    (wish(ladder=[{"share": 0.2, "lasts_s": 1.0}, {"share": 0.5}]), 400, "ladder[1].share"),
-    (wish(ladder=[{"share": 1.5}]), 400, "ladder[0].share"), (wish(ladder=[{"share": "x"}]), 400, "share"),
-    (wish(usual_per_s=0.0), 400, "usual_per_s"), (wish("stop"), 400, "lapse.action"),
-    (wish(based_on_number=7), 412, "number 0"), (wish("pause"), 404, "no order"), ([], 400, "not an object"),
-])
+@pytest.mark.parametrize(
+    "body, status, why",
+    [
+        (wish(ladder=[]), 400, "1 to 32"),
+        (wish(ladder=[{"share": 0.5}, {"share": 0.2}]), 400, "lasts_s"),
+        (wish(ladder=[{"share": 0.2, "lasts_s": 1.0}, {"share": 0.5}]), 400, "ladder[1].share"),
+        (wish(ladder=[{"share": 1.5}]), 400, "ladder[0].share"),
+        (wish(ladder=[{"share": "x"}]), 400, "share"),
+        (wish(usual_per_s=0.0), 400, "usual_per_s"),
+        (wish("stop"), 400, "lapse.action"),
+        (wish(based_on_number=7), 412, "number 0"),
+        (wish("pause"), 404, "no order"),
+        ([], 400, "not an object"),
+    ],
+)
 def test_a_wish_that_makes_no_sense_is_refused_with_its_place(body: Any, status: int, why: str) -> None:
     refused = ordered(state_of(), "t", body).error
     assert refused.status == status and why in refused.why
@@ -77,7 +95,8 @@
     state = state_of()
     tenant = state["document"]["tenants"]["t"]
     state["document"]["tenants"] = {
-        f"t{n}": {**tenant, "api_keys": [f"k{n}"]} for n in range(MOST_ORDERS + 2)}
+        f"t{n}": {**tenant, "api_keys": [f"k{n}"]} for n in range(MOST_ORDERS + 2)
+    }
     for number in range(MOST_ORDERS):
         state = ordered(state, f"t{number}", wish()).ok
     assert ordered(state, f"t{MOST_ORDERS}", wish()).error.status == 503
@@ -169,8 +188,11 @@
     taken = steps(fleet)
     assert all(after - before in (0, 1) for before, after in zip(taken, taken[1:], strict=False)), taken
     assert taken[-1] == 2
-    began = {fleet.orders[n]["t"]["step"]: at for n, at in sorted(fleet.ordered_at.items(), reverse=True)
-             if "t" in fleet.orders.get(n, {})}
+    began = {
+        fleet.orders[n]["t"]["step"]: at
+        for n, at in sorted(fleet.ordered_at.items(), reverse=True)
+        if "t" in fleet.orders.get(n, {})
+    }
     assert began[1] - began[0] > 1.9 and began[2] - began[1] > 1.9, "a step was cut short"
     for machine in fleet.machines:
         assert machine.node is not None and machine.node.table is not None
@@ -198,15 +220,20 @@
     assert order(fleet, wish()) == 200
     fleet.run(1.0)
     number = fleet.machines[0].node.state["lapses"]["number"]  # type: ignore[union-attr]
-    heard = [fleet.machines[n].call("lapse", {"id": "t", **wish(action, based_on_number=number)})
-             for n, action in ((1, "restore"), (4, "pause"))]
+    heard = [
+        fleet.machines[n].call("lapse", {"id": "t", **wish(action, based_on_number=number)})
+        for n, action in ((1, "restore"), (4, "pause"))
+    ]
     fleet.run(1.5)
     assert sorted(verdicts[0].status for verdicts in heard) == [200, 412]
 
 
 def served(town: Town, tenant: str, since: float, until: float, gateway: str = "") -> float:
-    asked = [one for one in town.book if one.tenant == tenant and since <= one.asked_at < until
-             and (not gateway or one.gateway == gateway)]
+    asked = [
+        one
+        for one in town.book
+        if one.tenant == tenant and since <= one.asked_at < until and (not gateway or one.gateway == gateway)
+    ]
     return sum(one.end == "served" for one in asked) / max(len(asked), 1)
 
 
@@ -306,7 +333,8 @@
 
 
 def test_a_report_is_drawn_and_what_is_none_is_refused_with_its_place(
-        tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
     town, _ = squeezed_town(3, gateways=4)
     heard = town.machines[1].call("report", {"id": "t"})
     town.run(1.0)
@@ -320,8 +348,12 @@
     text = picture.read_text()
     assert all(machine.name in text for machine in town.machines) and "step 0" in text
     assert draw(tmp_path / "report.none") == 1 and "report.none" in capsys.readouterr().err
-    for wrong, why in (("[]", "not a report"), ('{"tenant": "t"}', "no whole"), ("{", "report.json"),
-                       ('{"tenant": "t", "whole": {}, "gateways": {}}', "nothing was counted")):
+    for wrong, why in (
+        ("[]", "not a report"),
+        ('{"tenant": "t"}', "no whole"),
+        ("{", "report.json"),
+        ('{"tenant": "t", "whole": {}, "gateways": {}}', "nothing was counted"),
+    ):
         report.write_text(wrong)
         assert draw(picture) == 1 and why in capsys.readouterr().err
 
@@ -334,8 +366,14 @@
         figures.let("t", wait)
     figures.turned_away("u")
     own, others = figures.of("t")["step 3"]
-    assert own.told() == {"asked": 5, "served": 5, "refused": 0, "held": 3, "wait_p50_s": 0.005,
-                          "wait_p99_s": None}
+    assert own.told() == {
+        "asked": 5,
+        "served": 5,
+        "refused": 0,
+        "held": 3,
+        "wait_p50_s": 0.005,
+        "wait_p99_s": None,
+    }
     assert (others.let, others.refused) == (0, 1)
     for step in range(100):
         figures.follow({"t": {"ladder": [], "by": "me", "phase": "squeezing", "step": step, "told": step}})
@@ -366,7 +404,7 @@
 
 def test_at_a_step_of_nought_callers_are_turned_away_at_the_door_and_told_when_to_come() -> None:
     driven = Driven()
-    desk = FrontDesk(lambda: driven, random.Random(1))  # type: ignore[arg-type,return-value]
+    desk = ClientHandler(lambda: driven, random.Random(1))  # type: ignore[arg-type,return-value]
     desk.begin(Table(document(1), {"t": STOPPED}))  # type: ignore[arg-type]
     asked = [Asked(b"/p0/1") for _ in range(20)]
     for one in asked:
@@ -391,7 +429,10 @@
 
 def test_the_command_reads_ladders() -> None:
     assert read_ladder("0.5:60,0.2:30,0") == [
-        {"share": 0.5, "lasts_s": 60.0}, {"share": 0.2, "lasts_s": 30.0}, {"share": 0.0}]
+        {"share": 0.5, "lasts_s": 60.0},
+        {"share": 0.2, "lasts_s": 30.0},
+        {"share": 0.0},
+    ]
     chosen = parser().parse_args(["lapse", "start", "127.0.0.1:80", "t", "--by", "me", "--ladder", "0.5"])
     assert chosen.ladder == [{"share": 0.5}] and chosen.tenant == "t"
     with pytest.raises(SystemExit):
--- a/tests/edge/test_loads.py
+++ b/tests/edge/test_loads.py
@@ -7,8 +7,8 @@
 import pytest
 
 from embersill.edge.records import Effects, Roster, Seat
-from embersill.edge.loads import Loads
-from embersill.edge.roll import Hello, Roll
+from embersill.edge.discovery.loads import Loads
+from embersill.edge.peers.peer_set import Hello, PeerSet
 
 ZONES = {"k1": "a", "g1": "a", "g2": "a", "k2": "b", "g3": "b"}
 
@@ -23,7 +23,7 @@
     def __init__(self, seed: int) -> None:
         self.chance = random.Random(seed)
         self.effects = {name: Effects() for name in ZONES}
-        self.rolls = {name: Roll(hello(name), [], self.effects[name], 0.0) for name in ZONES}
+        self.rolls = {name: PeerSet(hello(name), [], self.effects[name], 0.0) for name in ZONES}
         self.loads = {name: Loads(hello(name), self.rolls[name], self.effects[name]) for name in ZONES}
         self.others: dict[str, dict[str, int]] = {name: {} for name in ZONES}
         self.due: set[str] = set()
--- a/tests/edge/test_membership_search.py
+++ b/tests/edge/test_membership_search.py
@@ -14,7 +14,7 @@
 import pytest
 
 from embersill.council.terms import majority
-from embersill.edge.membership import GONE_AFTER, Candidate, Requirements, next_members
+from embersill.edge.consensus.membership import GONE_AFTER, Candidate, Requirements, next_members
 from embersill.edge.records import Roster, Seat
 
 Choose = Callable[["Cluster", int], frozenset[str]]
--- a/tests/edge/test_parts.py
+++ b/tests/edge/test_parts.py
@@ -8,18 +8,33 @@
 
 import pytest
 
-from embersill.edge.check import checked
-from embersill.edge.deciding import EdgeGateway
-from embersill.edge.document import EMPTY, State, changed, read_version, write_version
-from embersill.edge.doors import MOST_EARLY, SOON, FrontDesk
-from embersill.edge.instances import Instance, Instances
+from embersill.edge.configuration.check import checked
+from embersill.edge.dataplane.gateway import EdgeGateway
+from embersill.edge.configuration.document import EMPTY, State, changed, read_version, write_version
+from embersill.edge.dataplane.handlers import MOST_EARLY, SOON, ClientHandler
+from embersill.edge.discovery.instances import Instance, Instances
 from embersill.edge.local import Local, read_local
-from embersill.edge.ring import by_place
-from embersill.edge.routes import Table, settings_for
-from embersill.edge.sums import FRESH, HELD, Sums
+from embersill.edge.peers.ring import by_place
+from embersill.edge.configuration.routes import Table, settings_for
+from embersill.edge.quota.sums import FRESH, HELD, Sums
 from embersill.interface import (
-    Action, AttemptEnded, Backend, BackendList, Borrow, Configured, Count, Fail, Lent, ListKind, Outcome,
-    Refuse, Request, Send, Sliced, Status, TimerDue,
+    Action,
+    AttemptEnded,
+    Backend,
+    BackendList,
+    Borrow,
+    Configured,
+    Count,
+    Fail,
+    Lent,
+    ListKind,
+    Outcome,
+    Refuse,
+    Request,
+    Send,
+    Sliced,
+    Status,
+    TimerDue,
 )
 from embersill.net.calls import BadRequest
 from embersill.lab.edge.fleet import change, document
@@ -72,10 +87,20 @@
     return made
 
 
-@pytest.mark.parametrize("kind", [
-    "unknown service", "unknown in a split", "same place", "no attempts", "odd kind", "shared key",
-    "cut short", "text for a number", "endless",
-])
+@pytest.mark.parametrize(
+    "kind",
+    [
+        "unknown service",
+        "unknown in a split",
+        "same place",
+        "no attempts",
+        "odd kind",
+        "shared key",
+        "cut short",
+        "text for a number",
+        "endless",
+    ],
+)
 def test_an_invalid_configuration_is_refused(kind: str) -> None:
     state = taken(EMPTY, "PUT", change(3, 0))
     assert refusal(state, "PUT", spoilt(kind)) == 400
@@ -84,9 +109,12 @@
 def test_a_patch_replaces_adds_and_removes_by_name_and_is_checked_as_a_whole() -> None:
     state = taken(EMPTY, "PUT", change(3, 0, routes=2))
     route = {**document(1)["routes"]["r0"], "path_prefix": "/new/"}
-    patch = {"version": "00000005", "based_on_version": "00000003",
-             "upsert_items": {"routes": {"r9": route}, "tenants": {"u": {"api_keys": ["z"]}}},
-             "remove_names": {"routes": ["r0"], "tenants": ["t"]}}
+    patch = {
+        "version": "00000005",
+        "based_on_version": "00000003",
+        "upsert_items": {"routes": {"r9": route}, "tenants": {"u": {"api_keys": ["z"]}}},
+        "remove_names": {"routes": ["r0"], "tenants": ["t"]},
+    }
     made = taken(state, "PATCH", patch)
     assert set(made["document"]["routes"]) == {"r1", "r9"} and set(made["document"]["tenants"]) == {"u"}
     assert made["document"]["version"] == "00000005" and made["document"]["limits"] == {"idle_timeout_s": 15}
@@ -102,8 +130,15 @@
 def test_the_route_is_the_longest_prefix_of_its_host_and_splits_by_weight() -> None:
     made = document(1, routes=1)
     made["services"]["q"] = {}
-    made["routes"]["long"] = {**made["routes"]["r0"], "path_prefix": "/p0/deep/", "weighted_split": [
-        {"service": "s", "weight": 3}, {"service": "q", "weight": 1}, {"service": "s", "weight": 0}]}
+    made["routes"]["long"] = {
+        **made["routes"]["r0"],
+        "path_prefix": "/p0/deep/",
+        "weighted_split": [
+            {"service": "s", "weight": 3},
+            {"service": "q", "weight": 1},
+            {"service": "s", "weight": 0},
+        ],
+    }
     table = Table(made)  # type: ignore[arg-type]
 
     def find(host: str, path: str) -> str | None:
@@ -125,10 +160,16 @@
 
 
 def test_what_two_gateways_know_of_a_backend_has_one_merge_in_any_order() -> None:
-    told = [Instance("i", "s", "a:1", "z", 2, state, sequence, 0.0, keeper, lost)
-            for state, sequence, keeper, lost in (
-                ("ready", 1, "k", False), ("ready", 5, "k", False), ("ready", 5, "k", True),
-                ("draining", 6, "j", False), ("gone", 7, "j", False))]
+    told = [
+        Instance("i", "s", "a:1", "z", 2, state, sequence, 0.0, keeper, lost)
+        for state, sequence, keeper, lost in (
+            ("ready", 1, "k", False),
+            ("ready", 5, "k", False),
+            ("ready", 5, "k", True),
+            ("draining", 6, "j", False),
+            ("gone", 7, "j", False),
+        )
+    ]
     for seed in range(30):
         one = Instances("me")
         for instance in random.Random(seed).sample(told, len(told)):
@@ -190,7 +231,8 @@
     assert account.slices["busy"][0] > 30.0 > 10.0 > account.slices["calm"][0] > 2.0
     used = account.slices["busy"][0] + account.slices["calm"][0]
     assert sums.held(account, 10.0, ["never heard of", "calm"], now) == pytest.approx(
-        account.slices["busy"][0] + 10.0 + 10.0)
+        account.slices["busy"][0] + 10.0 + 10.0
+    )
     assert sums.held(account, 10.0, [], now) == pytest.approx(used)
     # the rest of the burst lies in the other eight gateways' banks
     assert sums.lend("t", 1000.0, 100.0, 100.0, 10, [], now + 1) > 25.0
@@ -202,14 +244,22 @@
 def settings(gateways: int = 4, fresh: bool = True, rate: float = 50.0, **more: Any) -> Any:
     made = document(1, routes=2, rate=rate)
     made["routes"]["r1"]["kind"] = "non_idempotent"
-    return settings_for(Table(made), zone="a", me=1, gateways=gateways, fresh=fresh,  # type: ignore[arg-type]
-                        ratio=0.2, slack=68.0)
+    return settings_for(
+        Table(made),  # type: ignore[arg-type]
+        zone="a",
+        me=1,
+        gateways=gateways,
+        fresh=fresh,
+        ratio=0.2,
+        slack=68.0,
+    )
 
 
 def edge(**more: Any) -> EdgeGateway:
     made = EdgeGateway(settings(**more), 1, 100.0)
     backends = tuple(
-        Backend(f"b{n}", "ab"[n % 2], f"b{n}", 0, Status.SERVING, 1.0, None, "s", 2) for n in range(4))
+        Backend(f"b{n}", "ab"[n % 2], f"b{n}", 0, Status.SERVING, 1.0, None, "s", 2) for n in range(4)
+    )
     made.handle(BackendList(ListKind.CHANGES, backends), 100.0)
     return made
 
@@ -222,8 +272,9 @@
     return [action for action in actions if isinstance(action, kind)]
 
 
-def ended(number: int, place: int, where: str, outcome: Outcome,
-          load: tuple[float, ...] = ()) -> AttemptEnded:
+def ended(
+    number: int, place: int, where: str, outcome: Outcome, load: tuple[float, ...] = ()
+) -> AttemptEnded:
     return AttemptEnded(number, place, where, outcome, 0.1, False, 0.0, load)
 
 
@@ -309,11 +360,19 @@
     assert "no " in read_local({"EMBERSILL_CONFIG": str(path)}).error
     assert "names no settings" in read_local({}).error
     good = {
-        "node_name": "n", "ip_address": "10.0.0.1", "zone": "a",
+        "node_name": "n",
+        "ip_address": "10.0.0.1",
+        "zone": "a",
         "listen_addresses": {"front_http": "10.0.0.1:80"},
-        "internal_port_range": [7000, 7010], "seed_nodes": ["10.0.0.1:8000"], "first_start": True,
-        "counts_toward_quorum": False, "limits": {"memory_mb": 300, "file_descriptors": 4100}, "bounds": {},
-        "later": 1, "data_directory": None}
+        "internal_port_range": [7000, 7010],
+        "seed_nodes": ["10.0.0.1:8000"],
+        "first_start": True,
+        "counts_toward_quorum": False,
+        "limits": {"memory_mb": 300, "file_descriptors": 4100},
+        "bounds": {},
+        "later": 1,
+        "data_directory": None,
+    }
     read = checked(good, Local, "settings")
     assert read.is_ok() and "later" not in read.ok
     assert checked({**good, "seed_nodes": "x"}, Local, "settings").error == "settings.seed_nodes: not a list"
@@ -348,7 +407,7 @@
 
 def test_requests_that_come_before_any_configuration_wait_for_it_and_not_for_long() -> None:
     driven = Driven()
-    desk = FrontDesk(lambda: driven, random.Random(1))  # type: ignore[arg-type,return-value]
+    desk = ClientHandler(lambda: driven, random.Random(1))  # type: ignore[arg-type,return-value]
     known, hasty, unknown, gone = Asked(b"/p0/1"), Asked(b"/p0/2", b"250"), Asked(b"/x/"), Asked(b"/p0/3")
     for one in (known, hasty, unknown, gone):
         desk.take(one, one, b"POST")  # type: ignore[arg-type]
@@ -365,7 +424,7 @@
 
 
 def test_early_requests_have_a_bound() -> None:
-    desk = FrontDesk(lambda: Driven(), random.Random(1))  # type: ignore[arg-type,return-value]
+    desk = ClientHandler(lambda: Driven(), random.Random(1))  # type: ignore[arg-type,return-value]
     crowd = [Asked(b"/p0/1") for _ in range(MOST_EARLY)]
     for one in crowd:
         desk.take(one, one, b"GET")  # type: ignore[arg-type]
--- a/tests/edge/test_places.py
+++ b/tests/edge/test_places.py
@@ -10,8 +10,8 @@
 import pytest
 
 from embersill.council.terms import majority
-from embersill.edge.founding import spread
-from embersill.edge.membership import (
+from embersill.edge.consensus.founding import spread
+from embersill.edge.consensus.membership import (
     GONE_AFTER,
     MOST_SEATS,
     Candidate,
@@ -22,7 +22,7 @@
 )
 from embersill.edge.program import requirements_of
 from embersill.edge.records import Roster, Seat
-from embersill.edge.roll import Hello
+from embersill.edge.peers.peer_set import Hello
 from embersill.edge.status import status_of
 from embersill.lab.edge.fleet import Fleet
 
--- a/tests/edge/test_quotas.py
+++ b/tests/edge/test_quotas.py
@@ -77,8 +77,12 @@
     town.run(chance.choice([0.0, 3.0, 8.0]))
     for _ in range(5):
         seconds, width = chance.uniform(1.0, 5.0), chance.choice([1, max(1, gateways // 2), gateways])
-        press(town, rate * chance.choice([0.3, 0.9, 1.5, 4.0, 8.0]), seconds,
-              chance.sample(town.machines, width))
+        press(
+            town,
+            rate * chance.choice([0.3, 0.9, 1.5, 4.0, 8.0]),
+            seconds,
+            chance.sample(town.machines, width),
+        )
         victim, trouble = chance.choice(town.machines), chance.choice(["", "", "cut", "kill", "all", "slow"])
         if trouble == "cut":
             town.cut({victim.name})
--- a/tests/edge/test_rollout.py
+++ b/tests/edge/test_rollout.py
@@ -10,14 +10,23 @@
 import pytest
 
 from embersill.edge.__main__ import main
-from embersill.edge.document import State, changed, stand
-from embersill.edge.judging import FALSE_ALARM, MISSED, compared, judged
-from embersill.edge.policy import AS_BUILT, RANGES, Policy, differences, read_policy
-from embersill.edge.rollouts import (
-    bound, ended, harmed, in_force, label, ordered, passed, rested, rollouts_of, told,
+from embersill.edge.configuration.document import State, changed, revision
+from embersill.edge.rollout.judging import FALSE_ALARM, MISSED, compared, judged
+from embersill.edge.configuration.policy import AS_BUILT, RANGES, Policy, differences, read_policy
+from embersill.edge.configuration.rollouts import (
+    bound,
+    ended,
+    harmed,
+    in_force,
+    label,
+    ordered,
+    passed,
+    rested,
+    rollouts_of,
+    told,
 )
-from embersill.edge.stages import Site, steps_of
-from embersill.edge.watch import BOUNDS, MOST_STRETCHES, Seen, Watch, added
+from embersill.edge.configuration.stages import Site, steps_of
+from embersill.edge.rollout.watch import BOUNDS, MOST_STRETCHES, Seen, Watch, added
 from embersill.lab.edge.fleet import change, document
 from embersill.lab.edge.rolling import HARMS, SITES, Harmful, RollTown, roll_town, run_of, wish
 from embersill.lab.edge.town import Gateway
@@ -29,13 +38,18 @@
     return {"version": 1, "document": document(1), "taken": []}
 
 
-@pytest.mark.parametrize("loaded, why", [
-    ([], "policy: not an object"), ({}, "policy: no name"), ({"name": ""}, "policy.name"),
-    ({"name": "x", "wait_shar": 0.1}, "policy.wait_shar: no such entry"),
-    ({"name": "x", "wait_share": "0.1"}, "policy.wait_share: not a number"),
-    ({"name": "x", "most_attempts": 0}, "policy.most_attempts: not 1 to 10"),
-    ({"name": "x", "budget_share": 1.5}, "policy.budget_share: not 0 to 1"),
-])
+@pytest.mark.parametrize(
+    "loaded, why",
+    [
+        ([], "policy: not an object"),
+        ({}, "policy: no name"),
+        ({"name": ""}, "policy.name"),
+        ({"name": "x", "wait_shar": 0.1}, "policy.wait_shar: no such entry"),
+        ({"name": "x", "wait_share": "0.1"}, "policy.wait_share: not a number"),
+        ({"name": "x", "most_attempts": 0}, "policy.most_attempts: not 1 to 10"),
+        ({"name": "x", "budget_share": 1.5}, "policy.budget_share: not 0 to 1"),
+    ],
+)
 def test_a_policy_that_makes_no_sense_is_refused_with_its_place(loaded: Any, why: str) -> None:
     assert why in read_policy(loaded).error
 
@@ -82,16 +96,26 @@
     assert made > 200
 
 
-@pytest.mark.parametrize("sites, last, most, why", [
-    ({}, [], 0.5, "sites: 1 to"), ({"a": {"asks": {}}}, [], 0.5, "neither zones nor gateways"),
-    ({"a": {"asks": {"k": 1.0}, "zones": ["z"]}}, ["x"], 1.0, "nobody serves 'x'"),
-    ({"a": {"asks": {"k": 1.0}, "zones": ["z"]}}, [], 0.5, "sites.a: it serves 1.00 of 'k'"),
-    ({"a": {"asks": {"k": -1.0}, "zones": ["z"]}}, [], 1.0, "below nought"),
-    ({"a": {"asks": {}, "zones": ["z"]}, "b": {"asks": {}, "zones": ["z"]}}, [], 1.0, "zone z belongs to a"),
-    ({"a": {"asks": {}, "zones": ["z"]}}, [], 0.0, "most_share"),
-])
+@pytest.mark.parametrize(
+    "sites, last, most, why",
+    [
+        ({}, [], 0.5, "sites: 1 to"),
+        ({"a": {"asks": {}}}, [], 0.5, "neither zones nor gateways"),
+        ({"a": {"asks": {"k": 1.0}, "zones": ["z"]}}, ["x"], 1.0, "nobody serves 'x'"),
+        ({"a": {"asks": {"k": 1.0}, "zones": ["z"]}}, [], 0.5, "sites.a: it serves 1.00 of 'k'"),
+        ({"a": {"asks": {"k": -1.0}, "zones": ["z"]}}, [], 1.0, "below nought"),
+        (
+            {"a": {"asks": {}, "zones": ["z"]}, "b": {"asks": {}, "zones": ["z"]}},
+            [],
+            1.0,
+            "zone z belongs to a",
+        ),
+        ({"a": {"asks": {}, "zones": ["z"]}}, [], 0.0, "most_share"),
+    ],
+)
 def test_sites_that_make_no_sense_are_refused_with_their_place(
-        sites: Any, last: list[str], most: float, why: str) -> None:
+    sites: Any, last: list[str], most: float, why: str
+) -> None:
     assert why in steps_of(sites, last, most).error
 
 
@@ -118,7 +142,7 @@
     assert in_force(state, "elsewhere", "g") == GOOD
     assert ordered(state, wish(GOOD)).error.status == 412  # it is in force already
     kept = changed(state, "PUT", {**document(2), "based_on_version": "00000001"}).ok
-    assert in_force(kept, "a", "g") == GOOD and stand(kept) > stand(state)
+    assert in_force(kept, "a", "g") == GOOD and revision(kept) > revision(state)
 
 
 def test_a_step_that_harms_goes_back_everywhere_and_is_tried_again_once_if_that_may_help() -> None:
@@ -317,10 +341,11 @@
     assert main(["rollout", "plan", str(sites)]) == 0
     assert json.loads(capsys.readouterr().out) == {"steps": [["a"], ["b"], ["c"]]}
     for path, text, words, why in (
-            (policy, '{"name": "x", "far": 1}', ["check", "policy", str(policy)], "policy.far: no such"),
-            (policy, "[]", ["check", "policy", str(policy)], "not an object"),
-            (sites, '{"sites": {"a": {"zones": ["a"]}}}', ["rollout", "plan", str(sites)], "a: no asks"),
-            (sites, '{"sites": {}}', ["rollout", "plan", str(sites)], "sites: 1 to"),
-            (sites, "{", ["rollout", "plan", str(sites)], "sites.json")):
+        (policy, '{"name": "x", "far": 1}', ["check", "policy", str(policy)], "policy.far: no such"),
+        (policy, "[]", ["check", "policy", str(policy)], "not an object"),
+        (sites, '{"sites": {"a": {"zones": ["a"]}}}', ["rollout", "plan", str(sites)], "a: no asks"),
+        (sites, '{"sites": {}}', ["rollout", "plan", str(sites)], "sites: 1 to"),
+        (sites, "{", ["rollout", "plan", str(sites)], "sites.json"),
+    ):
         path.write_text(text)
         assert main(words) == 1 and why in capsys.readouterr().err
--- a/tests/edge/test_slowed.py
+++ b/tests/edge/test_slowed.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from embersill.edge.lapses import Slowed
+from embersill.edge.configuration.lapses import Slowed
 from embersill.interface import Borrow, Lent, Others, Outcome, Refuse, Send, TimerDue
 from embersill.lab.edge.lapsing import SHARES, TROUBLES, WAYS, measured, play
 from tests.edge.test_parts import ask, edge, ended, of
--- a/tests/edge/test_sockets.py
+++ b/tests/edge/test_sockets.py
@@ -13,11 +13,11 @@
 
 from embersill.edge.records import Stored
 from embersill.edge.__main__ import main
-from embersill.edge.doors import INTERFACE, operations
+from embersill.edge.dataplane.handlers import INTERFACE, operations
 from embersill.edge.local import Local
 from embersill.edge.logs import line
 from embersill.edge.program import System, first_vote
-from embersill.edge.store import Store
+from embersill.edge.storage.store import Store
 from embersill.lab.edge.fleet import change
 
 SEAL = b"X-Backend-Seal: s1\r\n"
@@ -38,13 +38,22 @@
 def local(number: int, ports: list[int], folder: Path | None, core: bool) -> Local:
     ip = f"127.0.0.{number}"
     made: Local = {
-        "node_name": f"n{number}", "ip_address": ip, "zone": "a", "first_start": True,
-        "listen_addresses": {"front_http": f"{ip}:{ports[0]}", "readiness": f"{ip}:{ports[1]}",
-                             "control_plane": f"{ip}:{ports[2]}"},
+        "node_name": f"n{number}",
+        "ip_address": ip,
+        "zone": "a",
+        "first_start": True,
+        "listen_addresses": {
+            "front_http": f"{ip}:{ports[0]}",
+            "readiness": f"{ip}:{ports[1]}",
+            "control_plane": f"{ip}:{ports[2]}",
+        },
         "internal_port_range": [ports[3], ports[3]],
         "seed_nodes": [f"127.0.0.{n}:{ports[2]}" for n in (1, 2, 3)],
-        "counts_toward_quorum": core, "limits": {"memory_mb": 300, "file_descriptors": 1000},
-        "bounds": {"grace_period_s": 3.0, "quota_slack": 20}, "heartbeat_interval_s": 1.0}
+        "counts_toward_quorum": core,
+        "limits": {"memory_mb": 300, "file_descriptors": 1000},
+        "bounds": {"grace_period_s": 3.0, "quota_slack": 20},
+        "heartbeat_interval_s": 1.0,
+    }
     if folder is not None:
         made["data_directory"] = str(folder)
     return made
@@ -92,10 +101,16 @@
             writer.write(answer)
 
 
-def answer(headers: dict[bytes, bytes], status: bytes = b"200 OK", more: bytes = SEAL,
-           body: bytes = b"whole") -> bytes:
+def answer(
+    headers: dict[bytes, bytes], status: bytes = b"200 OK", more: bytes = SEAL, body: bytes = b"whole"
+) -> bytes:
     return b"HTTP/1.1 %b\r\nX-Attempt-Id: %b\r\n%bContent-Length: %d\r\n\r\n%b" % (
-        status, headers[b"x-attempt-id"], more, len(body), body)
+        status,
+        headers[b"x-attempt-id"],
+        more,
+        len(body),
+        body,
+    )
 
 
 async def until(true: Callable[[], bool]) -> None:
@@ -104,8 +119,9 @@
             await asyncio.sleep(0.01)
 
 
-async def with_system(folder: Path, answers: Answers, then: Callable[..., Awaitable[None]],
-                      kind: type[Backend] = Backend) -> None:
+async def with_system(
+    folder: Path, answers: Answers, then: Callable[..., Awaitable[None]], kind: type[Backend] = Backend
+) -> None:
     """Three gateways with disks and one without, a configuration in force, and a backend that is known."""
     ports, stores, systems = free_ports(), [], []
     for number in (1, 2, 3, 4):
@@ -127,8 +143,15 @@
         route["routes"]["r1"]["kind"] = "non_idempotent"
         status, _, text = await call("127.0.0.4", control, "PUT /api/configuration HTTP/1.1", route)
         assert status == 200, text
-        beat = {"service": "s", "address": backend.address, "zone": "a", "capacity_slots": 4,
-                "state": "ready", "call_sequence": 1, "warmup_remaining_s": 0}
+        beat = {
+            "service": "s",
+            "address": backend.address,
+            "zone": "a",
+            "capacity_slots": 4,
+            "state": "ready",
+            "call_sequence": 1,
+            "warmup_remaining_s": 0,
+        }
         status, _, text = await call("127.0.0.4", control, "PUT /api/instances/i-1 HTTP/1.1", beat)
         assert status == 200 and json.loads(text)["heartbeat_address"].endswith(f":{control}")
         await until(lambda: all(system.is_ready() for system in systems))
@@ -146,14 +169,17 @@
                 store.close()
 
 
-def play(folder: Path, answers: Answers, then: Callable[..., Awaitable[None]],
-         kind: type[Backend] = Backend) -> None:
+def play(
+    folder: Path, answers: Answers, then: Callable[..., Awaitable[None]], kind: type[Backend] = Backend
+) -> None:
     asyncio.run(with_system(folder, answers, then, kind))
 
 
 def try_of(number: int, path: str = "/p0/x", key: str = "k", method: str = "GET") -> str:
-    return (f"{method} {path} HTTP/1.1\r\nX-Attempt-Id: a{number}\r\nX-Deadline-Remaining-Ms: 1500\r\n"
-            f"X-Key: {key}\r\nX-Tenant-Name: forged")
+    return (
+        f"{method} {path} HTTP/1.1\r\nX-Attempt-Id: a{number}\r\nX-Deadline-Remaining-Ms: 1500\r\n"
+        f"X-Key: {key}\r\nX-Tenant-Name: forged"
+    )
 
 
 def test_a_request_goes_whole_from_client_to_backend_and_back(tmp_path: Path) -> None:
@@ -238,12 +264,23 @@
 
 def test_the_interface_file_names_what_the_doors_take() -> None:
     assert set(operations().values()) == {
-        "beat", "leave", "GET", "PUT", "PATCH", "status", "lapses", "lapse", "report",
-        "rollouts", "rollout"}
+        "beat",
+        "leave",
+        "GET",
+        "PUT",
+        "PATCH",
+        "status",
+        "lapses",
+        "lapse",
+        "report",
+        "rollouts",
+        "rollout",
+    }
 
 
 def test_a_gateway_says_what_it_believes_in_the_form_of_the_interface_file(
-        tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
     async def then(ports: list[int], backend: Backend, systems: list[System]) -> None:
         address = f"127.0.0.4:{ports[2]}"
         status = await asyncio.to_thread(main, ["status", address])
@@ -259,7 +296,8 @@
 
 
 def test_a_lapsed_tenant_is_turned_away_at_any_gateway_until_it_is_restored(
-        tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
     async def then(ports: list[int], backend: Backend, systems: list[System]) -> None:
         async def command(*words: str) -> tuple[int, Any]:
             status = await asyncio.to_thread(main, ["lapse", words[0], f"127.0.0.4:{ports[2]}", *words[1:]])
--- a/tests/edge/test_store.py
+++ b/tests/edge/test_store.py
@@ -17,10 +17,10 @@
 from embersill.council.register import Register
 from embersill.edge.__main__ import main
 from embersill.edge.records import Begun, Remembered, Roster, Save, Seat
-from embersill.edge.document import EMPTY, State
-from embersill.edge.instances import Instance
+from embersill.edge.configuration.document import EMPTY, State
+from embersill.edge.discovery.instances import Instance
 from embersill.edge.program import prepared
-from embersill.edge.store import Store
+from embersill.edge.storage.store import Store
 from embersill.lab.edge.fleet import document
 
 Output = pytest.CaptureFixture[str]
@@ -35,10 +35,15 @@
     register.load([])
     state: State = {"version": 26, "document": document(26), "taken": []}
     one = Instance("i-1", "s", "10.1.0.1:80", "a", 2, "ready", 7, 0.0)
-    store.write({
-        "begun": msgspec.json.encode(Begun(roster, EMPTY)), "state": msgspec.msgpack.encode(state),
-        "remembered": msgspec.msgpack.encode(Remembered(3, register.whole())),
-        "backends": msgspec.msgpack.encode([one]), "gateways": b"14"})
+    store.write(
+        {
+            "begun": msgspec.json.encode(Begun(roster, EMPTY)),
+            "state": msgspec.msgpack.encode(state),
+            "remembered": msgspec.msgpack.encode(Remembered(3, register.whole())),
+            "backends": msgspec.msgpack.encode([one]),
+            "gateways": b"14",
+        }
+    )
     return store
 
 
@@ -46,8 +51,14 @@
     kept(tmp_path).environment.close()
     assert main(["store", "check", str(tmp_path)]) == 0
     assert json.loads(capsys.readouterr().out) == {
-        "store": "nonce", "epoch": 3, "members": ["n1", "n2"], "remembers": True, "version": "0000001a",
-        "backends": 1, "gateways": 14}
+        "store": "nonce",
+        "epoch": 3,
+        "members": ["n1", "n2"],
+        "remembers": True,
+        "version": "0000001a",
+        "backends": 1,
+        "gateways": 14,
+    }
     again = Store(tmp_path, 16).begin(lambda: "another").ok
     assert again.store == "nonce" and again.begun is not None
     assert again.state is not None and again.state["version"] == 26
@@ -67,9 +78,12 @@
 
 
 def test_what_is_whole_and_means_nothing_is_named_too(tmp_path: Path, capsys: Output) -> None:
-    for value, data, why in (("begun", b"{}", "a value that is none"), ("gateways", b"many", "none"),
-                             ("backends", b"\xc1", "list of backends"),
-                             ("format", b"embersill-9", "another format")):
+    for value, data, why in (
+        ("begun", b"{}", "a value that is none"),
+        ("gateways", b"many", "none"),
+        ("backends", b"\xc1", "list of backends"),
+        ("format", b"embersill-9", "another format"),
+    ):
         folder = tmp_path / value
         store = kept(folder)
         store.write({value: data})
@@ -89,12 +103,24 @@
 
 def settings_file(folder: Path, disk: Path | None, **more: Any) -> Path:
     path = folder / "local.json"
-    path.write_text(json.dumps({
-        "node_name": "n1", "ip_address": "127.0.0.1", "zone": "a", "first_start": False,
-        "listen_addresses": {"control_plane": "127.0.0.1:8000"}, "internal_port_range": [7000, 7010],
-        "seed_nodes": ["127.0.0.2:8000"], "counts_toward_quorum": True,
-        "limits": {"memory_mb": 300, "file_descriptors": 1000}, "bounds": {},
-        "data_directory": str(disk) if disk is not None else None, **more}))
+    path.write_text(
+        json.dumps(
+            {
+                "node_name": "n1",
+                "ip_address": "127.0.0.1",
+                "zone": "a",
+                "first_start": False,
+                "listen_addresses": {"control_plane": "127.0.0.1:8000"},
+                "internal_port_range": [7000, 7010],
+                "seed_nodes": ["127.0.0.2:8000"],
+                "counts_toward_quorum": True,
+                "limits": {"memory_mb": 300, "file_descriptors": 1000},
+                "bounds": {},
+                "data_directory": str(disk) if disk is not None else None,
+                **more,
+            }
+        )
+    )
     return path
 
 
@@ -110,6 +136,7 @@
 
 def test_a_full_disk_refuses_and_what_was_saved_stays(tmp_path: Path) -> None:
     """Whoever waits for a save hears that it failed, and later ones succeed as soon as there is room."""
+
     async def play() -> None:
         store, heard = kept(tmp_path), []
         waits = asyncio.Event()
@@ -186,11 +213,18 @@
     path.write_text(json.dumps(document(7, routes=3)))
     assert main(["check", "configuration", str(path)]) == 0
     assert json.loads(capsys.readouterr().out) == {
-        "version": "00000007", "routes": 3, "services": 1, "tenants": 1}
+        "version": "00000007",
+        "routes": 3,
+        "services": 1,
+        "tenants": 1,
+    }
     made = document(7)
     made["routes"]["r0"]["max_attempts"] = 0
-    for text, why in ((json.dumps(made), "route r0 has no attempts"), ("{", "configuration.json"),
-                      (json.dumps({**made, "routes": {"r": 1}}), "configuration.routes.r: not an object")):
+    for text, why in (
+        (json.dumps(made), "route r0 has no attempts"),
+        ("{", "configuration.json"),
+        (json.dumps({**made, "routes": {"r": 1}}), "configuration.routes.r: not an object"),
+    ):
         path.write_text(text)
         assert main(["check", "configuration", str(path)]) == 1
         assert why in capsys.readouterr().err
--- a/tests/edge/test_system.py
+++ b/tests/edge/test_system.py
@@ -177,17 +177,17 @@
     fleet.run(0.2)
     assert heard[0].status == 200 and heard[0].body["heartbeat_address"] == "10.0.0.1:8000"
     fleet.run(0.5)
-    assert all(m.node.cell.instances.known["i-1"].open for m in fleet.machines if m.node is not None)
+    assert all(m.node.registry.instances.known["i-1"].open for m in fleet.machines if m.node is not None)
     fleet.slowed[fleet.machines[-1].name] = 0.1  # the core agrees long before this one knows
     leaving = fleet.machines[1].call("beat", beat("draining", 2))
     again = fleet.machines[1].call("beat", beat("draining", 3))  # is no sooner answered
     while not leaving and not again:
         fleet.run(0.0005)
-    assert not any(m.node.cell.instances.known["i-1"].open for m in fleet.machines if m.node is not None)
+    assert not any(m.node.registry.instances.known["i-1"].open for m in fleet.machines if m.node is not None)
     late = fleet.machines[0].call("beat", beat("ready", 1))  # overtaken on its way
     fleet.run(0.5)
     assert late[0].status == 200
-    assert not any(m.node.cell.instances.known["i-1"].open for m in fleet.machines if m.node is not None)
+    assert not any(m.node.registry.instances.known["i-1"].open for m in fleet.machines if m.node is not None)
 
 
 def test_a_silent_gateway_holds_a_leaving_backend_up_for_a_moment_only() -> None:
@@ -206,11 +206,11 @@
     fleet = founded(5)
     fleet.machines[0].call("beat", beat())
     fleet.run(5.0)
-    known = [m.node.cell.instances.known["i-1"] for m in fleet.machines if m.node is not None]
+    known = [m.node.registry.instances.known["i-1"] for m in fleet.machines if m.node is not None]
     assert all(one.lost for one in known)
     fleet.machines[0].call("beat", beat(sequence=9))
     fleet.run(0.5)
-    assert all(m.node.cell.instances.known["i-1"].open for m in fleet.machines if m.node is not None)
+    assert all(m.node.registry.instances.known["i-1"].open for m in fleet.machines if m.node is not None)
 
 
 def test_without_a_majority_nothing_is_acknowledged() -> None:
@@ -249,7 +249,7 @@
     one.start()
     assert one.node is not None and one.node.table is None
     fleet.run(20.0)  # nobody else is back: its slice of each quota stays one of seven
-    assert one.node.roll.count == 7 and one.node.table is None
+    assert one.node.peers.count == 7 and one.node.table is None
     other.start()
     fleet.run(1.6)
     assert one.node.state["version"] == 1 and other.node is not None and other.node.state["version"] == 1
@@ -288,7 +288,7 @@
         fleet.run(0.7)
         for machine in fleet.machines:
             assert machine.node is not None
-            known = machine.node.cell.instances.known
+            known = machine.node.registry.instances.known
             assert len(known) == 3
             assert all(one.open for one in known.values()), (machine.name, sequence)
 
@@ -311,7 +311,7 @@
         keeper.call("beat", beat("ready", sequence, keeper.zone))
         for machine in fleet.machines:
             assert machine.node is not None
-            known = machine.node.cell.instances.known
+            known = machine.node.registry.instances.known
             assert all(one.open for one in known.values()), (machine.name, sequence)
 
 
--- a/tests/edge/test_trying.py
+++ b/tests/edge/test_trying.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from embersill.edge.deciding import EdgeAdmission
+from embersill.edge.dataplane.admission import EdgeAdmission
 from embersill.lab.edge.trying import experiment, main, play, read_scenario
 
 SCENARIO = """
@@ -27,13 +27,20 @@
 asks_per_s = 10.0
 """
 TROUBLES = "".join(
-    f"[[troubles]]\nkind = \"{kind}\"\nat = {at}\nfor_s = 2.0\nshare = 0.2\n{more}\n"
+    f'[[troubles]]\nkind = "{kind}"\nat = {at}\nfor_s = 2.0\nshare = 0.2\n{more}\n'
     for kind, at, more in (
-        ("kill", 1.0, ""), ("kill core", 3.0, ""), ("cut", 1.5, ""), ("slow", 4.0, "x = 0.1"),
-        ("burst", 5.0, "x = 3.0"), ("backends down", 2.0, ""), ("hot tenant", 3.5, 'tenant = "t"\nx = 6.0')))
+        ("kill", 1.0, ""),
+        ("kill core", 3.0, ""),
+        ("cut", 1.5, ""),
+        ("slow", 4.0, "x = 0.1"),
+        ("burst", 5.0, "x = 3.0"),
+        ("backends down", 2.0, ""),
+        ("hot tenant", 3.5, 'tenant = "t"\nx = 6.0'),
+    )
+)
 TOWNS = Path(__file__).parents[2] / "benchmarks" / "towns"
 CONSTANTS = '[[variants]]\nname = "v"\n[variants.constants]\n'
-HOLDS = "embersill.edge.deciding.EdgeAdmission.hold_share"
+HOLDS = "embersill.edge.dataplane.admission.EdgeAdmission.hold_share"
 
 
 def written(folder: Path, text: str) -> Path:
@@ -42,21 +49,27 @@
     return path
 
 
-@pytest.mark.parametrize("old, new, why", [
-    ("gateways = 5", "gateways = 0", "scenario.gateways"), ("seconds = 8.0", "", "no seconds"),
-    ("backends = 15", "backends = 0", "scenario.backends"), ('name = "u"', 'name = "t"', "two of one name"),
-    ("asks_per_s = 10.0", "asks_per_s = 0.0", "scenario.tenants[1]"),
-    ("backends = 15", "core = 9", "scenario.core"),
-    ("", '[[troubles]]\nkind = "flood"\nat = 1.0\nfor_s = 1.0', "scenario.troubles[0].kind"),
-    ("", '[[troubles]]\nkind = "cut"\nat = 1.0\nfor_s = 0.0', "a time or a share"),
-    ("", '[[troubles]]\nkind = "hot tenant"\nat = 1.0\nfor_s = 1.0', "scenario.troubles[0].tenant"),
-    ("", CONSTANTS + '"embersill.edge.deciding.NONE" = 1.0', "no constant"),
-    ("", CONSTANTS + '"os.path.sep" = 1.0', "no constant"),
-    ("", '[[variants]]\nname = "v"\n[variants.entries]\nseconds = -1.0', "scenario.seconds"),
-    ("", "x = [", "scenario.toml"),
-])
+@pytest.mark.parametrize(
+    "old, new, why",
+    [
+        ("gateways = 5", "gateways = 0", "scenario.gateways"),
+        ("seconds = 8.0", "", "no seconds"),
+        ("backends = 15", "backends = 0", "scenario.backends"),
+        ('name = "u"', 'name = "t"', "two of one name"),
+        ("asks_per_s = 10.0", "asks_per_s = 0.0", "scenario.tenants[1]"),
+        ("backends = 15", "core = 9", "scenario.core"),
+        ("", '[[troubles]]\nkind = "flood"\nat = 1.0\nfor_s = 1.0', "scenario.troubles[0].kind"),
+        ("", '[[troubles]]\nkind = "cut"\nat = 1.0\nfor_s = 0.0', "a time or a share"),
+        ("", '[[troubles]]\nkind = "hot tenant"\nat = 1.0\nfor_s = 1.0', "scenario.troubles[0].tenant"),
+        ("", CONSTANTS + '"embersill.edge.dataplane.admission.NONE" = 1.0', "no constant"),
+        ("", CONSTANTS + '"os.path.sep" = 1.0', "no constant"),
+        ("", '[[variants]]\nname = "v"\n[variants.entries]\nseconds = -1.0', "scenario.seconds"),
+        ("", "x = [", "scenario.toml"),
+    ],
+)
 def test_a_scenario_that_makes_no_sense_is_refused_with_its_place(
-        tmp_path: Path, old: str, new: str, why: str) -> None:
+    tmp_path: Path, old: str, new: str, why: str
+) -> None:
     text = SCENARIO.replace(old, new, 1) if old else SCENARIO + new
     assert why in read_scenario(written(tmp_path, text)).error
 
@@ -76,17 +89,22 @@
 
 
 def test_variants_are_held_against_the_scenario_seed_by_seed_and_constants_come_back(
-        tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
     before = EdgeAdmission.hold_share
     hot = '[[troubles]]\nkind = "burst"\nat = 1.0\nfor_s = 4.0\nx = 4.0\n'
-    variants = (f'[[variants]]\nname = "waits"\n[variants.constants]\n"{HOLDS}" = 0.0\n'
-                '[[variants]]\nname = "same"\n[[variants]]\nname = "few"\n[variants.entries]\nbackends = 1\n')
+    variants = (
+        f'[[variants]]\nname = "waits"\n[variants.constants]\n"{HOLDS}" = 0.0\n'
+        '[[variants]]\nname = "same"\n[[variants]]\nname = "few"\n[variants.entries]\nbackends = 1\n'
+    )
     path, picture = written(tmp_path, SCENARIO + hot + variants), tmp_path / "worth.svg"
     chosen = argparse.Namespace(scenario=path, seeds=2, jobs=2, picture=picture)
     assert main(chosen) == 0
     told = json.loads(capsys.readouterr().out)
     assert {name for name, of in told["against"].items() if any(one["mean"] for one in of.values())} == {
-        "waits", "few"}
+        "waits",
+        "few",
+    }
     assert told["against"]["few"]["worth"]["mean"] < -0.05 and told["against"]["waits"]["p99"]["mean"] < 0
     assert "few" in picture.read_text() and EdgeAdmission.hold_share == before
     assert main(argparse.Namespace(scenario=tmp_path / "none", seeds=1, jobs=1, picture=None)) == 2
@@ -96,6 +114,6 @@
 def test_a_rule_that_is_broken_is_told(tmp_path: Path) -> None:
     pressed = SCENARIO.replace("asks_per_s = 30.0", "asks_per_s = 400.0")
     # with a reserve that lends far more than the bound allows
-    text = pressed + CONSTANTS + '"embersill.edge.sums.RESERVE_FLOW" = 60.0\n'
+    text = pressed + CONSTANTS + '"embersill.edge.quota.sums.RESERVE_FLOW" = 60.0\n'
     told = experiment(read_scenario(written(tmp_path, text)).ok, 1, 1)
     assert not told["runs"]["as it is"][0]["broken"] and "t ran" in told["broken"][0]
