--- a/embersill/edge/consensus/distribution.py
+++ b/embersill/edge/consensus/distribution.py
@@ -19,7 +19,7 @@
 ACKED_WITHIN = 0.5  # seconds that an operator's change waits for the gateways' word
 UNTOLD = 0, 0  # the version of a gateway that has told none
 
-Version = tuple[int, int]  # of the configuration, and of the orders beside it; see `document.stand`
+Version = tuple[int, int]  # of the configuration, and of the orders beside it; see `document.revision`
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,7 +70,8 @@
         return {"kind": "version", "version": version, "orders": orders}
 
     def tell_all(self) -> None:
-        """Another version is in force here."""
+        """Another version is in force here: what was asked for has come."""
+        self.fetched_at = float("-inf")
         told = self.told()
         self.effects.mail.extend((name, told) for name in self.peers.linked)
 
--- a/tests/edge/test_control.py
+++ b/tests/edge/test_control.py
@@ -217,3 +217,13 @@
     assert len({zone["region"] for zone in sites.variant(site, "regions")["zones"]}) == 3
     with pytest.raises(ValueError, match="three zones"):
         sites.variant({**site, "zones": site["zones"][:2]}, "six")
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_change_right_after_another_is_fetched_as_soon_as_it_is_told(seed: int) -> None:
+    fleet = control.founded(seed, 3, 2)
+    for version in (2, 3, 4):
+        heard = fleet.machines[0].call("PUT", change(version, version - 1))
+        fleet.run(0.15)
+        assert [verdict.status for verdict in heard] == [200]
+        assert {control.node_of(machine).state["version"] for machine in fleet.machines} == {version}
