Formatter and doc comments over embersill/lab/edge

Need: readable code. All of the simulated clusters and towns is under the formatter and has a doc comment on each public item.

--- a/embersill/lab/edge/__init__.py
+++ b/embersill/lab/edge/__init__.py
@@ -0,0 +1,1 @@
+"""The whole gateway in simulated time: clusters, towns with traffic, scenarios, drawn days."""
--- a/embersill/lab/edge/fleet.py
+++ b/embersill/lab/edge/fleet.py
@@ -30,10 +30,20 @@
     """A sound configuration."""
     return {
         "version": f"{version:08x}",
-        "routes": {f"r{n}": {
-            "host": "a.example", "path_prefix": f"/p{n}/", "kind": "idempotent", "timeout_s": 2.0,
-            "target_latency_s": 0.5, "priority": 1, "service": "s", "max_attempts": 2,
-            "public_access": False} for n in range(routes)},
+        "routes": {
+            f"r{n}": {
+                "host": "a.example",
+                "path_prefix": f"/p{n}/",
+                "kind": "idempotent",
+                "timeout_s": 2.0,
+                "target_latency_s": 0.5,
+                "priority": 1,
+                "service": "s",
+                "max_attempts": 2,
+                "public_access": False,
+            }
+            for n in range(routes)
+        },
         "services": {"s": {"health_path": "/health", "connection_limit": 100}},
         "limits": {"idle_timeout_s": 15},
         "tenants": {"t": {"api_keys": ["k"], "priority": 1, "rate_per_s": rate, "burst_size": rate}},
@@ -41,6 +51,7 @@
 
 
 def change(version: int, based_on: int, routes: int = 1) -> dict[str, Any]:
+    """A whole configuration, as an operator sends it."""
     return {**document(version, routes), "based_on_version": f"{based_on:08x}"}
 
 
@@ -62,6 +73,7 @@
         self.states: dict[str, str] = {}
 
     def start(self, first: bool = False) -> None:
+        """Starts the process with what the disk has; `first`: the whole system's very first start."""
         kernel, chance = self.fleet.kernel, self.fleet.chance
         self.process.begin_life(0.0, 0.0)
         if self.core and "store" not in self.disk:
@@ -69,12 +81,22 @@
         store = self.disk.get("store", b"none").decode()
         begun, kept = self.disk.get("begun"), self.disk.get("remembered")
         stored = Stored(
-            store, msgspec.json.decode(begun, type=Begun) if begun else None,
+            store,
+            msgspec.json.decode(begun, type=Begun) if begun else None,
             msgspec.msgpack.decode(kept, type=Remembered) if kept else None,
-            gateways=int(self.disk.get("gateways", b"0")), vote=self.vote(first),
-            state=msgspec.msgpack.decode(self.disk["state"], type=State) if "state" in self.disk else None)
-        hello = Hello(self.name, self.ip, self.zone, f"{self.ip}:{CONTROL}", self.core, store,
-                      f"{chance.getrandbits(32):x}")
+            gateways=int(self.disk.get("gateways", b"0")),
+            vote=self.vote(first),
+            state=msgspec.msgpack.decode(self.disk["state"], type=State) if "state" in self.disk else None,
+        )
+        hello = Hello(
+            self.name,
+            self.ip,
+            self.zone,
+            f"{self.ip}:{CONTROL}",
+            self.core,
+            store,
+            f"{chance.getrandbits(32):x}",
+        )
         self.node = Node(hello, self.fleet.seeds, stored, random.Random(chance.getrandbits(32)), kernel.now)
         self.node.founding.requirements = self.fleet.requirements
         self.seen = 0, 0
@@ -112,10 +134,12 @@
             self.fleet.unlink(self, self.fleet.by_name[name])
 
     def wipe(self) -> None:
+        """The process dies and the disk is lost."""
         self.kill()
         self.disk.clear()
 
     def tick(self) -> None:
+        """What is due by now, again every `TICK` seconds of this process's life."""
         if self.node is None:
             return
         self.node.tick(self.fleet.kernel.now)
@@ -137,6 +161,7 @@
         self.fleet.check(self)
 
     def saved(self) -> None:
+        """The oldest save has ended, well or refused by the disk."""
         save = self.saves.popleft()
         refused = self.refuse_next & {save.name, *save.also}
         self.refuse_next -= refused
@@ -186,6 +211,7 @@
         self.dial()
 
     def add(self, core: bool, zone: str) -> Machine:
+        """A machine with an empty disk joins."""
         self.made += 1
         machine = self.machine(self, self.made, core, zone)
         self.machines.append(machine)
@@ -194,6 +220,7 @@
         return machine
 
     def apart(self, one: str, other: str) -> bool:
+        """True while a cut is between two machines."""
         return other in self.cut_off.get(one, ()) or one in self.cut_off.get(other, ())
 
     def cut(self, names: set[str]) -> None:
@@ -202,6 +229,7 @@
             self.cut_off[name] = self.by_name.keys() - names
 
     def heal(self) -> None:
+        """Ends all cuts; machines that were muted are heard again."""
         self.cut_off.clear()
         self.muted.clear()
 
@@ -220,6 +248,7 @@
                 machine.node.founding.requirements = self.requirements
 
     def dial(self) -> None:
+        """Ends links that are silent, and links whoever wants to be, again every `DIALLED` seconds."""
         now = self.kernel.now
         for machine in self.machines:
             if machine.process.paused_until > now:
@@ -240,6 +269,7 @@
         self.kernel.at(now + DIALLED, self.dial)
 
     def link(self, one: Machine, other: Machine) -> None:
+        """Links two machines, unless they are or one of them is down."""
         if other.name in one.up or one.node is None or other.node is None:
             return
         now = self.kernel.now
@@ -251,11 +281,13 @@
         other.carry_out()
 
     def unlink(self, one: Machine, other: Machine) -> None:
+        """Ends the link of two machines at both ends."""
         for machine, peer in ((one, other), (other, one)):
             if machine.up.pop(peer.name, None) is not None and machine.node is not None:
                 machine.node.unlinked(peer.name, self.kernel.now)
 
     def send(self, sender: Machine, peer: str, message: Any) -> None:
+        """Sends a message over a link; it arrives late, in order, or never."""
         if peer not in sender.up:
             return
         to, key = self.by_name[peer], (sender.name, peer)
@@ -266,6 +298,7 @@
         self.kernel.at(arrival, self.arrive, sender, sender.process.life, to, to.process.life, told)
 
     def arrive(self, sender: Machine, life: int, to: Machine, its_life: int, message: Any) -> None:
+        """A message arrives, unless a life that it was between has ended or a cut is in between."""
         if self.apart(sender.name, to.name) or sender.process.life != life or to.process.life != its_life:
             return
         if sender.name in self.muted:
@@ -278,6 +311,7 @@
             to.carry_out()
 
     def run(self, seconds: float) -> None:
+        """Runs the cluster for so many seconds."""
         self.kernel.run(self.kernel.now + seconds)
 
     def settled(self) -> None:
@@ -307,6 +341,7 @@
             machine.states[name] = one.state
 
     def check_state(self, state: State) -> None:
+        """A version, and a number of orders, is one and the same wherever it is seen."""
         text = msgspec.json.encode(state["document"], order="deterministic").decode()
         assert self.in_force.setdefault(state["version"], text) == text, f"two versions {state['version']}"
         number = revision(state)[1]
--- a/embersill/lab/edge/lapsing.py
+++ b/embersill/lab/edge/lapsing.py
@@ -15,7 +15,16 @@
 from embersill.edge.configuration.lapses import Slowed, lapses_of
 from embersill.lab.edge.fleet import Machine, change
 from embersill.lab.edge.town import (
-    PATIENCE, WINDOW, Gateway, Outcomes, Town, at_part, share, waits, with_tenants, worth,
+    PATIENCE,
+    WINDOW,
+    Gateway,
+    Outcomes,
+    Town,
+    at_part,
+    share,
+    waits,
+    with_tenants,
+    worth,
 )
 
 LAPSED, OTHERS = "lapsed", ("dispatch", "ferries", "pharmacy")
@@ -27,8 +36,17 @@
 SETTLES = 3.0  # seconds from a step's beginning until what was accrued before it is used up
 LOOK = 0.1  # seconds between looks at the step that is in force
 ROUTES = 2
-TROUBLES = ("calm", "holder killed", "gateway cut off", "core cut", "all killed", "quota changed",
-            "one gateway", "ten lapsed", "backends lost")
+TROUBLES = (
+    "calm",
+    "holder killed",
+    "gateway cut off",
+    "core cut",
+    "all killed",
+    "quota changed",
+    "one gateway",
+    "ten lapsed",
+    "backends lost",
+)
 # in service; turned away by chance; a smaller burst alone; rank alone; held for longer; a fixed part each
 WAYS = "tokens by demand", "random shedding", "shrinking burst", "lower priority", "delay", "even tokens"
 DELAY = 0.1  # seconds that each request is held, divided by the share: "delay"
@@ -56,8 +74,10 @@
 
     def sound(self, one: Outcomes) -> bool:
         """True if its gateway was there, and settled, while the request was."""
-        return not any(name == one.gateway and since - PATIENCE <= one.asked_at < until + SETTLES
-                       for name, since, until in self.gone)
+        return not any(
+            name == one.gateway and since - PATIENCE <= one.asked_at < until + SETTLES
+            for name, since, until in self.gone
+        )
 
 
 class WeighedGateway(Gateway):
@@ -66,17 +86,21 @@
     way, share = "", 1.0
 
     def begin(self, way: str) -> None:
+        """Slows the lapsed tenant down in this way from now on."""
         self.way = way
         self.drawn = random.Random(f"{self.name}/{way}")
         self.rate, self.level, self.filled_at = QUOTA, QUOTA, 0.0  # its even part: "even tokens"
 
     def slowed(self, share: float) -> None:
+        """The lapsed tenant has this share of its rate from now on."""
         self.share = share
         if self.way == "lower priority":
             self.decider.attempts.squeezed = {LAPSED: Slowed(0.0, 0.0, share - 1.0)}
 
-    def ask(self, tenant: str, patience: float, route: str = "r0", repeat: bool = False,
-            caller: str = "") -> Outcomes | None:
+    def ask(
+        self, tenant: str, patience: float, route: str = "r0", repeat: bool = False, caller: str = ""
+    ) -> Outcomes | None:
+        """A request; the lapsed tenant's goes the way that is weighed."""
         if tenant != LAPSED or self.share >= 1.0 or self.node is None:
             return super().ask(tenant, patience, route, repeat, caller)
         now = self.fleet.kernel.now
@@ -103,6 +127,7 @@
         return super().ask(tenant, patience, route, repeat, caller)
 
     def turned_away(self, tenant: str, route: str, caller: str) -> Outcomes:
+        """A request that is refused before any decision."""
         town, now = self.fleet, self.fleet.kernel.now
         assert isinstance(town, Town)
         told = Outcomes(tenant, self.name, now, now, "refused", True, caller=caller, route=route)
@@ -111,6 +136,8 @@
 
 
 class WeighedTown(Town):
+    """A town whose gateways slow a tenant down in the way that is weighed."""
+
     machine = WeighedGateway
 
 
@@ -148,15 +175,22 @@
     return None
 
 
-def play(gateways: int, trouble: str = "calm", seed: int = 1, ordered: bool = True,
-         way: str = WAYS[0]) -> Played:
+def play(
+    gateways: int, trouble: str = "calm", seed: int = 1, ordered: bool = True, way: str = WAYS[0]
+) -> Played:
     """A town of so many gateways with that trouble; AssertionError if a rule is broken on the way."""
     quotas = {LAPSED: (QUOTA * gateways, QUOTA * gateways)}
     quotas |= {name: (OTHERS_QUOTA * gateways, OTHERS_QUOTA * gateways) for name in OTHERS}
     more = [f"lapsed{n}" for n in range(9)] if trouble == "ten lapsed" else []
     quotas |= dict.fromkeys(more, (2.0 * gateways, 2.0 * gateways))
-    town = with_tenants(seed, gateways, quotas, ROUTES, BACKENDS_EACH * max(gateways, 5),
-                        Town if way == WAYS[0] else WeighedTown)
+    town = with_tenants(
+        seed,
+        gateways,
+        quotas,
+        ROUTES,
+        BACKENDS_EACH * max(gateways, 5),
+        Town if way == WAYS[0] else WeighedTown,
+    )
     played, start = Played(town), town.kernel.now
     end = start + CALM + STEP * len(SHARES) + AFTER
     pressing, times = trouble == "one gateway", 10.0 if gateways <= MANY else 3.0
@@ -334,8 +368,10 @@
         since, until = played.window(step)
         if until > since:
             allowed += QUOTA * len(played.town.machines) * share_now * (until - since)
-            served += sum(one.tenant == LAPSED and one.end == "served" and since <= one.asked_at < until
-                          for one in played.town.book)
+            served += sum(
+                one.tenant == LAPSED and one.end == "served" and since <= one.asked_at < until
+                for one in played.town.book
+            )
     return served / max(allowed, 1e-9)
 
 
@@ -343,8 +379,17 @@
     """The figures of a run, with the same run without an order beside it."""
     town = played.town
     sound = [one for one in town.book if played.sound(one)]
-    figures = dict.fromkeys(("evenness", "evenness_raw", "evenness_zones", "evenness_routes",
-                             "evenness_callers", "wait_p50_spread"), 0.0)
+    figures = dict.fromkeys(
+        (
+            "evenness",
+            "evenness_raw",
+            "evenness_zones",
+            "evenness_routes",
+            "evenness_callers",
+            "wait_p50_spread",
+        ),
+        0.0,
+    )
     for step in range(len(SHARES)):
         since, until = played.window(step)
         inside = [one for one in sound if one.tenant == LAPSED and since <= one.asked_at < until - PATIENCE]
@@ -352,21 +397,26 @@
         raw = max(map(share, parts)) - min(map(share, parts)) if parts else 0.0
         zone = {machine.name: machine.zone for machine in town.machines}
         for name, found in (
-                ("evenness", unevenness(inside, lambda one: one.gateway)), ("evenness_raw", raw),
-                ("evenness_zones", unevenness(inside, lambda one, zone=zone: zone[one.gateway])),  # type: ignore[misc]
-                ("evenness_routes", unevenness(inside, lambda one: one.route)),
-                ("evenness_callers", unevenness(inside, lambda one: one.caller.partition(" ")[0])),
-                ("wait_p50_spread", spread(inside, lambda one: one.gateway))):
+            ("evenness", unevenness(inside, lambda one: one.gateway)),
+            ("evenness_raw", raw),
+            ("evenness_zones", unevenness(inside, lambda one, zone=zone: zone[one.gateway])),  # type: ignore[misc]
+            ("evenness_routes", unevenness(inside, lambda one: one.route)),
+            ("evenness_callers", unevenness(inside, lambda one: one.caller.partition(" ")[0])),
+            ("wait_p50_spread", spread(inside, lambda one: one.gateway)),
+        ):
             figures[name] = max(figures[name], found)
-    others = [[one for one in run.town.book if one.tenant in OTHERS and played.sound(one)]
-              for run in (played, without)]
+    others = [
+        [one for one in run.town.book if one.tenant in OTHERS and played.sound(one)]
+        for run in (played, without)
+    ]
     figures["others_worth_ratio"] = worth(others[0]) / max(worth(others[1]), 1e-9)
     figures["others_p99_ratio"] = at_part(waits(others[0]), 0.99) / max(at_part(waits(others[1]), 0.99), 1e-9)
     figures["lost"] = sum(not one.end or one.end == "failed" for one in sound)
     figures["doubled"] = sum(one.runs > 1 for one in town.book)
     taken = played.steps
     figures["steps_skipped"] = sum(
-        after - before > 1 for before, after in zip(taken, taken[1:], strict=False))
+        after - before > 1 for before, after in zip(taken, taken[1:], strict=False)
+    )
     down = [step for step, before in zip(taken[1:], taken, strict=False) if step != before and step >= 0]
     figures["steps_repeated"] = len(down) - len(set(down))
     figures["steps_taken"] = len(set(down))
--- a/embersill/lab/edge/news.py
+++ b/embersill/lab/edge/news.py
@@ -32,15 +32,19 @@
     spent = 0.0
 
     def timed(self, what: Callable[[], None]) -> None:
+        """Calls it and adds the processor time that it took."""
         began = time.process_time()
         what()
         self.spent += time.process_time() - began
 
     def tick(self) -> None:
+        """A tick, timed."""
         self.timed(super().tick)
 
 
 class MeasuredTown(Town):
+    """A town that counts messages and their bytes, and times its gateways."""
+
     machine = MeasuredGateway
 
     def __init__(self, *arguments: Any, **more: Any) -> None:
@@ -51,6 +55,7 @@
         super().__init__(*arguments, **more)
 
     def send(self, sender: Machine, peer: str, message: Any) -> None:
+        """Sends a message and counts its bytes by kind, sender and reader."""
         if peer in sender.up:
             size, kind = len(msgspec.json.encode(message)) + 1, str(message["kind"])
             if kind in ("ask", "told"):
@@ -62,6 +67,7 @@
         super().send(sender, peer, message)
 
     def arrive(self, sender: Machine, life: int, to: Machine, its_life: int, message: Any) -> None:
+        """A message arrives; what the reader does with it is timed."""
         began = time.process_time()
         super().arrive(sender, life, to, its_life, message)
         if isinstance(to, MeasuredGateway):
@@ -71,6 +77,7 @@
         """The rules are left to the tests: to look at all backends at each step is most of the time."""
 
     def clear(self) -> None:
+        """Counts from nought again."""
         for counter in (self.told, self.messages, self.out_of, self.into):
             counter.clear()
         for machine in self.machines:
--- a/embersill/lab/edge/plots.py
+++ b/embersill/lab/edge/plots.py
@@ -18,6 +18,7 @@
 
 
 def share(counts: dict[str, Any]) -> float:
+    """Requests that were served, of those that were asked."""
     return float(counts["served"]) / max(float(counts["asked"]), 1.0)
 
 
@@ -46,8 +47,11 @@
     above, below = figure.subplots(2, 1, sharex=True)
     assert isinstance(above, Axes) and isinstance(below, Axes)
     for name, told in report["gateways"].items():
-        known = [(place, share(told[step]["tenant"])) for place, step in enumerate(steps)
-                 if step in told and told[step]["tenant"]["asked"] >= LEAST]
+        known = [
+            (place, share(told[step]["tenant"]))
+            for place, step in enumerate(steps)
+            if step in told and told[step]["tenant"]["asked"] >= LEAST
+        ]
         above.plot([place for place, _ in known], [part for _, part in known], "o", alpha=0.6, label=name)
     above.plot(places, [share(report["whole"][step]["tenant"]) for step in steps], "k-", label="all gateways")
     above.set_ylabel(f"share of {report['tenant']}'s requests served")
@@ -55,8 +59,12 @@
     above.legend(fontsize="x-small", ncols=4, loc="upper right")
     others = [report["whole"][step]["others"] for step in steps]
     below.plot(places, [share(one) for one in others], "o-", label="share served, all others")
-    below.plot(places, [one["wait_p99_s"] if one["wait_p99_s"] is not None else 2.0 for one in others], "s--",
-               label="seconds waited at p99, all others")
+    below.plot(
+        places,
+        [one["wait_p99_s"] if one["wait_p99_s"] is not None else 2.0 for one in others],
+        "s--",
+        label="seconds waited at p99, all others",
+    )
     below.set_ylim(-0.02, 1.05)
     below.set_xticks(list(places), steps)
     below.legend(fontsize="x-small")
@@ -74,6 +82,7 @@
 
 
 def main(arguments: argparse.Namespace) -> int:
+    """Draws a report into a picture; 1 where either is unusable."""
     read = read_report(arguments.report)
     if read.is_error():
         print(f"lapse-plot: {read.error}", file=sys.stderr)
--- a/embersill/lab/edge/rolling.py
+++ b/embersill/lab/edge/rolling.py
@@ -23,7 +23,8 @@
 SITES: dict[str, Site] = {
     "a": {"asks": {"parcels": 20.0, MARKED: 0.0}, "zones": ["a"], "core": 1},
     "b": {"asks": {"parcels": 30.0, MARKED: 0.0}, "zones": ["b"], "core": 1},
-    "c": {"asks": {"parcels": 20.0, MARKED: 40.0}, "zones": ["c"], "core": 1}}
+    "c": {"asks": {"parcels": 20.0, MARKED: 40.0}, "zones": ["c"], "core": 1},
+}
 WATCH = 6.0  # seconds that a step is watched
 ASKED = 120.0  # requests a second and zone
 SLOWER = 0.25  # seconds that a policy that slows adds to each answer, and one with a tail to one in twenty
@@ -33,11 +34,20 @@
     """An operator's: an action, or a policy to start with."""
     if isinstance(what, str):
         return {"action": what, "by": "staff", **more}
-    return {"action": "start", "by": "staff", "policy": what, "sites": SITES, "last": [MARKED],
-            "most_share": 1.0, "watch_s": WATCH, **more}
+    return {
+        "action": "start",
+        "by": "staff",
+        "policy": what,
+        "sites": SITES,
+        "last": [MARKED],
+        "most_share": 1.0,
+        "watch_s": WATCH,
+        **more,
+    }
 
 
 def run_of(state: State) -> Run:
+    """The run that is under way."""
     run = rollouts_of(state)["run"]
     assert run is not None
     return run
@@ -49,11 +59,13 @@
     harm = ""
 
     def place(self, job: Job) -> None:
+        """Refuses one request in four under `refuses`."""
         if self.harm == "refuses" and not job.attempts and job.request.id % 4 == 0:
             return self.give_up(job)
         return super().place(job)
 
     def may_send(self, job: Job, server: Server) -> bool:
+        """Takes every request for repeatable under `doubles`."""
         klass = job.klass
         if self.harm == "doubles":  # takes what must run once for what may be repeated
             job.klass = replace(klass, repeats=Repeats.SAFE)
@@ -62,13 +74,17 @@
         return allowed
 
     def send(self, job: Job, server: Server) -> None:
+        """Forgets one request in a hundred under `loses`, once it is sent."""
         super().send(job, server)
         if self.harm == "loses" and job.klass.repeats is Repeats.ONCE and job.request.id % 100 == 0:
             del self.jobs[job.request.id]  # nobody will answer it
 
 
 class Harmful(Gateway):
+    """A gateway on which policies named for a harm do it."""
+
     def serve(self, first: bool) -> None:
+        """Serves with attempts that go wrong under such policies."""
         super().serve(first)
         self.decider.attempts.__class__ = Planted
         self.decider.attempts.backends.may_send = self.decider.attempts.may_send
@@ -77,24 +93,30 @@
 
     @property
     def planted(self) -> Planted:
+        """The attempts of this gateway."""
         attempts = self.decider.attempts
         assert isinstance(attempts, Planted)
         return attempts
 
     def policy_came(self, policy: Policy, label: str) -> None:
+        """Another policy, and with it another harm or none."""
         super().policy_came(policy, label)
         self.planted.harm = policy["name"] if policy["name"] in HARMS else ""
 
     def lasts(self, action: Send, takes: float) -> float:
+        """Seconds that an attempt lasts; longer under `slows` and `tail`."""
         slow = self.planted.harm == "slows" or self.planted.harm == "tail" and action.request % 20 == 0
         return takes + SLOWER if slow else takes
 
     def outcome_of(self, action: Send, place: int) -> Outcome:
+        """How an attempt ends; some first ones break under `doubles`."""
         breaks = self.planted.harm == "doubles" and place == 0 and action.request % 20 == 0
         return Outcome.BROKEN if breaks else Outcome.SERVED
 
 
 class RollTown(Town):
+    """A town in which policies are rolled out."""
+
     machine = Harmful
     tenants: dict[str, Any] = {}
 
@@ -127,6 +149,16 @@
     chance = town.kernel.stream("where")
     for zone in ZONES:
         there = [machine for machine in town.machines if machine.zone == zone]
-        town.call("t", ASKED, lambda there=there: chance.choice(  # type: ignore[misc]
-            [m for m in there if m.node is not None] or there), town.kernel.now + 1000.0, 2.0, 1, zone, 2)
+        town.call(
+            "t",
+            ASKED,
+            lambda there=there: chance.choice(  # type: ignore[misc]
+                [m for m in there if m.node is not None] or there
+            ),
+            town.kernel.now + 1000.0,
+            2.0,
+            1,
+            zone,
+            2,
+        )
     return town
--- a/embersill/lab/edge/totals.py
+++ b/embersill/lab/edge/totals.py
@@ -72,8 +72,11 @@
         truths.append(sum(now - 1.0 < one.asked_at <= now for one in reversed(town.book)))
         known = summing.node.demand.sums.total("t", 0.0, (), now) if summing.node is not None else 0.0
         totals.append(known)
-    calm = [n for n in range(MOST_LAG, len(totals)) if not LOST[0] <= n * LOOK < LOST[1] + 2.0 or
-            trouble == "none"]
+    calm = [
+        n
+        for n in range(MOST_LAG, len(totals))
+        if not LOST[0] <= n * LOOK < LOST[1] + 2.0 or trouble == "none"
+    ]
 
     def distance(lag: int) -> float:
         return sum(abs(totals[n] - truths[n - lag]) for n in calm) / len(calm) / QUOTA
@@ -86,8 +89,15 @@
     def served(asked: list[Outcomes]) -> float:
         return sum(one.end == "served" for one in asked) / max(len(asked), 1)
 
-    return Figures(gateways, trouble, distance(lag), lag * LOOK, served(outside),
-                   min(served(inside) / owed, 1.0), town.most.get("t", 0.0))
+    return Figures(
+        gateways,
+        trouble,
+        distance(lag),
+        lag * LOOK,
+        served(outside),
+        min(served(inside) / owed, 1.0),
+        town.most.get("t", 0.0),
+    )
 
 
 def add_to(others: Any) -> None:
@@ -106,6 +116,8 @@
             if trouble != "none" and count < 3:
                 continue
             got = measure(count, trouble, arguments.seed)
-            print(f"{got.gateways:8d} {got.trouble:7s} {got.error:6.3f} {got.lag:5.1f} s {got.served:7.3f} "
-                  f"{got.served_inside:7.3f} {got.most:7.3f}")
+            print(
+                f"{got.gateways:8d} {got.trouble:7s} {got.error:6.3f} {got.lag:5.1f} s {got.served:7.3f} "
+                f"{got.served_inside:7.3f} {got.most:7.3f}"
+            )
     return 0
--- a/embersill/lab/edge/town.py
+++ b/embersill/lab/edge/town.py
@@ -20,8 +20,23 @@
 from embersill.edge.configuration.routes import Table, settings_for
 from embersill.edge.dataplane.tally import Tally
 from embersill.interface import (
-    AttemptEnded, Backend, BackendList, Borrow, Configured, Count, Event, Fail, ListKind, Outcome, Refuse,
-    Request, Send, SetTimer, Settings, Status, TimerDue,
+    AttemptEnded,
+    Backend,
+    BackendList,
+    Borrow,
+    Configured,
+    Count,
+    Event,
+    Fail,
+    ListKind,
+    Outcome,
+    Refuse,
+    Request,
+    Send,
+    SetTimer,
+    Settings,
+    Status,
+    TimerDue,
 )
 from embersill.lab.edge.fleet import Fleet, Machine, change
 
@@ -53,21 +68,30 @@
 
 
 def share(asked: list[Outcomes]) -> float:
+    """Requests that were served, of these."""
     return sum(one.end == "served" for one in asked) / max(len(asked), 1)
 
 
 def waits(asked: Iterable[Outcomes]) -> list[float]:
+    """Seconds that the served ones took, in order."""
     return sorted(one.ended_at - one.asked_at for one in asked if one.end == "served")
 
 
 def at_part(ordered: list[float], part: float) -> float:
+    """A quantile of ordered figures; nought where there are none."""
     return ordered[min(int(part * len(ordered)), len(ordered) - 1)] if ordered else 0.0
 
 
 def worth(asked: Iterable[Outcomes]) -> float:
     """Mean worth of requests: whole within the aim, a part after it."""
-    owed = [1.0 if one.end == "served" and one.ended_at - one.asked_at <= AIM else
-            LATE if one.end == "served" else 0.0 for one in asked]
+    owed = [
+        1.0
+        if one.end == "served" and one.ended_at - one.asked_at <= AIM
+        else LATE
+        if one.end == "served"
+        else 0.0
+        for one in asked
+    ]
     return sum(owed) / max(len(owed), 1)
 
 
@@ -75,6 +99,7 @@
     """A machine that also takes requests; what it had under way ends with its process."""
 
     def serve(self, first: bool) -> None:
+        """Decides about requests too, from now on."""
         assert self.node is not None
         self.first, self.count = first, 1
         self.decider = EdgeGateway(self.settings(), self.fleet.chance.getrandbits(32), self.fleet.kernel.now)
@@ -95,24 +120,37 @@
         assert isinstance(self.fleet, Town)
         backends = tuple(
             Backend(name, "abc"[n % 3], name, 0, Status.SERVING, 1.0, None, "s", SLOTS)
-            for n, name in enumerate(self.fleet.backends))
+            for n, name in enumerate(self.fleet.backends)
+        )
         self.post(BackendList(ListKind.CHANGES, backends))
 
     def settings(self) -> Settings:
+        """The settings of the decisions, by the configuration and the number of gateways."""
         assert self.node is not None
-        return settings_for(self.node.table, zone=self.zone, me=self.number, gateways=self.count,
-                            fresh=self.first, ratio=RATIO, slack=BUDGET_SLACK, policy=self.node.policy[0])
+        return settings_for(
+            self.node.table,
+            zone=self.zone,
+            me=self.number,
+            gateways=self.count,
+            fresh=self.first,
+            ratio=RATIO,
+            slack=BUDGET_SLACK,
+            policy=self.node.policy[0],
+        )
 
     def table_came(self, table: Table) -> None:
+        """Another configuration is in force."""
         assert self.node is not None
         self.decider.slow(table.squeezed, self.node.figures)
         self.post(Configured(self.settings()))
 
     def policy_came(self, policy: Policy, label: str) -> None:
+        """Another policy is in force."""
         self.decider.follow(policy, label)
         self.post(Configured(self.settings()))
 
     def tick(self) -> None:
+        """What is due by now, of decisions too."""
         if self.node is not None:
             self.tally.tick()
             if self.node.peers.count != self.count:
@@ -121,6 +159,7 @@
         super().tick()
 
     def kill(self) -> None:
+        """The process dies, and with it what it had under way."""
         if self.node is not None:
             self.tally.close()
             for one in self.open.values():
@@ -128,8 +167,9 @@
             self.open.clear()
         super().kill()
 
-    def ask(self, tenant: str, patience: float, route: str = "r0", repeat: bool = False,
-            caller: str = "") -> Outcomes | None:
+    def ask(
+        self, tenant: str, patience: float, route: str = "r0", repeat: bool = False, caller: str = ""
+    ) -> Outcomes | None:
         """A client's request; None where nobody takes it."""
         if self.node is None or self.node.table is None:
             return None
@@ -157,6 +197,7 @@
         self.handling = False
 
     def act(self, action: Any) -> None:
+        """Carries out what was decided."""
         if isinstance(action, SetTimer):
             self.process.after(action.delay, lambda: self.post(TimerDue(action.key)))
         elif isinstance(action, Count):
@@ -173,12 +214,14 @@
             self.finish(action.request, "failed")
 
     def finish(self, number: int, end: str) -> Outcomes | None:
+        """A request has ended; None where it had before."""
         told = self.open.pop(number, None)
         if told is not None:
             told.end, told.ended_at = end, self.fleet.kernel.now
         return told
 
     def send(self, action: Send) -> None:
+        """Has a backend work on an attempt for a while."""
         town, told = self.fleet, self.open[action.request]
         assert isinstance(town, Town)
         place, told.sends = told.sends, told.sends + 1
@@ -195,13 +238,11 @@
             if served:
                 self.finish(action.request, "served")
             load = () if lost else backend.load(town.kernel.now)
-            self.post(AttemptEnded(
-                action.request, place, action.backend, outcome, takes, served, 0.0, load))
+            self.post(AttemptEnded(action.request, place, action.backend, outcome, takes, served, 0.0, load))
             self.carry_out()
 
         self.process.after(takes, ended)
 
-
     def lasts(self, action: Send, takes: float) -> float:
         """Seconds until the answer comes, of those that its backend takes."""
         return takes
@@ -238,8 +279,9 @@
 
     machine = Gateway
 
-    def __init__(self, seed: int, cores: int = 3, others: int = 2, disks: bool = True,
-                 backends: int = BACKENDS) -> None:
+    def __init__(
+        self, seed: int, cores: int = 3, others: int = 2, disks: bool = True, backends: int = BACKENDS
+    ) -> None:
         self.backends = {f"b{n}": Slots() for n in range(backends)}
         self.book: list[Outcomes] = []
         self.asked = 0
@@ -253,6 +295,7 @@
 
     @property
     def gateways(self) -> list[Gateway]:
+        """All machines, as gateways that take requests."""
         return [machine for machine in self.machines if isinstance(machine, Gateway)]
 
     def hold(self, tenant: str, rate: float, burst: float) -> None:
@@ -260,6 +303,7 @@
         self.bounds[tenant] = (rate * WINDOW + burst) * (1 + OVERSHOOT) + SLACK
 
     def ran(self, tenant: str) -> None:
+        """A backend has run a tenant's request: it counts towards the tenant's quota."""
         runs = self.runs.setdefault(tenant, deque())
         runs.append(self.kernel.now)
         while runs[0] < self.kernel.now - WINDOW:
@@ -270,8 +314,17 @@
             within = len(runs) <= bound or not self.judged
             assert within, f"{tenant} ran {len(runs)} of {bound:.0f} by {self.kernel.now:.2f}"
 
-    def call(self, tenant: str, per_s: float, where: Callable[[], Machine], until: float,
-             patience: float = PATIENCE, repeats: int = 0, caller: str = "", routes: int = 1) -> None:
+    def call(
+        self,
+        tenant: str,
+        per_s: float,
+        where: Callable[[], Machine],
+        until: float,
+        patience: float = PATIENCE,
+        repeats: int = 0,
+        caller: str = "",
+        routes: int = 1,
+    ) -> None:
         """Callers of a tenant come by chance, `per_s` each second, and come again after a refusal as told."""
         chance = self.kernel.stream(f"callers of {tenant} {caller}".rstrip())
 
@@ -295,14 +348,23 @@
         self.kernel.at(self.kernel.now + chance.expovariate(per_s), come)
 
 
-def with_tenants(seed: int, gateways: int, quotas: Mapping[str, tuple[float, float]], routes: int = 1,
-                 backends: int = BACKENDS, kind: type[Town] = Town, cores: int = 3) -> Town:
+def with_tenants(
+    seed: int,
+    gateways: int,
+    quotas: Mapping[str, tuple[float, float]],
+    routes: int = 1,
+    backends: int = BACKENDS,
+    kind: type[Town] = Town,
+    cores: int = 3,
+) -> Town:
     """A town whose tenants have these quotas, rate and burst; everybody knows of them."""
     town = kind(seed, min(gateways, cores), max(gateways - cores, 0), backends=backends)
     town.run(3.0)
     body = change(1, 0, routes)
-    body["tenants"] = {name: {"api_keys": [name], "rate_per_s": rate, "burst_size": burst}
-                       for name, (rate, burst) in quotas.items()}
+    body["tenants"] = {
+        name: {"api_keys": [name], "rate_per_s": rate, "burst_size": burst}
+        for name, (rate, burst) in quotas.items()
+    }
     town.machines[0].call("PUT", body)
     town.run(1.0)
     town.settled()
--- a/embersill/lab/edge/trying.py
+++ b/embersill/lab/edge/trying.py
@@ -64,6 +64,8 @@
 
 
 class Scenario(TypedDict):
+    """A scenario file (TOML): the town, its callers, what befalls it, and variants to compare."""
+
     gateways: int
     seconds: float
     tenants: list[Caller]
@@ -154,7 +156,8 @@
 
 
 def chosen(things: list[Any], share: float) -> list[Any]:
-    return things[:max(1, round(share * len(things)))]
+    """The first of these, a share of them, one at least."""
+    return things[: max(1, round(share * len(things)))]
 
 
 def strike(town: Town, trouble: Trouble, callers: list[Caller], where: Callable[[], Machine]) -> None:
@@ -183,8 +186,12 @@
         hot = [one for one in callers if kind == "burst" or one["name"] == trouble.get("tenant")]
         for one in hot:
             more = one["asks_per_s"] * (x - 1.0)
-            kernel.at(start, lambda name=one["name"], more=more, until=start + end: town.call(
-                name, more, where, until, PATIENCE, 1, "more"))
+            kernel.at(
+                start,
+                lambda name=one["name"], more=more, until=start + end: town.call(
+                    name, more, where, until, PATIENCE, 1, "more"
+                ),
+            )
 
 
 def play(scenario: Scenario, seed: int, constants: dict[str, float] | None = None) -> dict[str, Any]:
@@ -192,8 +199,14 @@
     with constants_set(constants or {}):
         gateways, callers = scenario["gateways"], scenario["tenants"]
         quotas = {one["name"]: (one["rate_per_s"], one["burst_size"]) for one in callers}
-        town = with_tenants(seed, gateways, quotas, 1, scenario.get("backends", max(3 * gateways, 12)),
-                            cores=min(scenario.get("core", 3), gateways))
+        town = with_tenants(
+            seed,
+            gateways,
+            quotas,
+            1,
+            scenario.get("backends", max(3 * gateways, 12)),
+            cores=min(scenario.get("core", 3), gateways),
+        )
         start = town.kernel.now
         chance = town.kernel.stream("where")
 
@@ -203,8 +216,14 @@
         for one in callers:
             if one["rate_per_s"] > 0:
                 town.hold(one["name"], one["rate_per_s"], one["burst_size"])
-            town.call(one["name"], one["asks_per_s"], where, start + scenario["seconds"], PATIENCE,
-                      one.get("repeats", 1))
+            town.call(
+                one["name"],
+                one["asks_per_s"],
+                where,
+                start + scenario["seconds"],
+                PATIENCE,
+                one.get("repeats", 1),
+            )
         for trouble in scenario.get("troubles", []):
             strike(town, trouble, callers, where)
         broken = ""
@@ -212,21 +231,34 @@
             town.run(scenario["seconds"] + PATIENCE + 1.0)
         except AssertionError as error:
             broken = str(error)
-        return {"seed": seed, "broken": broken, **figures(town.book),
-                "tenants": {name: {**figures([o for o in town.book if o.tenant == name]),
-                                   "most_of_quota": round(town.most.get(name, 0.0), 3)} for name in quotas},
-                "seconds": by_second(town.book, start, scenario["seconds"])}
+        return {
+            "seed": seed,
+            "broken": broken,
+            **figures(town.book),
+            "tenants": {
+                name: {
+                    **figures([o for o in town.book if o.tenant == name]),
+                    "most_of_quota": round(town.most.get(name, 0.0), 3),
+                }
+                for name in quotas
+            },
+            "seconds": by_second(town.book, start, scenario["seconds"]),
+        }
 
 
 def figures(asked: list[Outcomes]) -> dict[str, float]:
+    """Worth, ends and times in seconds of these requests."""
     took = waits(asked)
-    ends = {end: sum(one.end == end for one in asked) / max(len(asked), 1)
-            for end in ("served", "refused", "failed")}
+    ends = {
+        end: sum(one.end == end for one in asked) / max(len(asked), 1)
+        for end in ("served", "refused", "failed")
+    }
     found = {"worth": worth(asked), **ends, "p50": at_part(took, 0.5), "p99": at_part(took, 0.99)}
     return {"asked": len(asked), **{name: round(value, 5) for name, value in found.items()}}
 
 
 def by_second(asked: Iterable[Outcomes], start: float, seconds: float) -> list[dict[str, float]]:
+    """The same for each second from a start on."""
     parts: list[list[Outcomes]] = [[] for _ in range(math.ceil(seconds))]
     for one in asked:
         place = int(one.asked_at - start)
@@ -254,10 +286,13 @@
     runs = [(one, seed, constants) for _, one, constants in made for seed in range(1, seeds + 1)]
     with ProcessPoolExecutor(jobs) as pool:
         rows = list(pool.map(play, *zip(*runs, strict=True)))
-    played = {name: rows[place * seeds:(place + 1) * seeds] for place, (name, _, _) in enumerate(made)}
+    played = {name: rows[place * seeds : (place + 1) * seeds] for place, (name, _, _) in enumerate(made)}
     base = played["as it is"]
-    return {"runs": played, "broken": [row["broken"] for row in rows if row["broken"]],
-            "against": {name: differences(base, played[name]) for name, _, _ in made[1:]}}
+    return {
+        "runs": played,
+        "broken": [row["broken"] for row in rows if row["broken"]],
+        "against": {name: differences(base, played[name]) for name, _, _ in made[1:]},
+    }
 
 
 def drawn(told: dict[str, Any]) -> Figure:
