--- a/tests/edge/test_fences.py
+++ b/tests/edge/test_fences.py
@@ -245,6 +245,16 @@
             "except lmdb.PanicError:\n            pass",
         ),
     ),
+    (
+        CONTROL + "members_that_lost_their_disks_long_ago_vote_in_the_next_epoch_at_once",
+        Fence(
+            "present-disks",
+            "embersill.edge.consensus.founding",
+            "a member that lost its disk once has to learn anew in each epoch",
+            "Seat(seat.ip, stores.get(name, seat.store))",
+            "seat",
+        ),
+    ),
     (
         CONTROL + "operations_run_one_after_the_other_and_too_many_are_turned_away",
         Fence(
