Read again: effects taken in one place, zones of members only at each tick

Cause: the change reckoned every 20 ms, for the word on losses, the zones of all gateways that were ever seen; only the members' matter (nine at the most). Taking mail and saves stood three times (System, Machine, HollowGateway: Effects.take now), asking the linked seeds and finding the newest roster twice in election, whether a vote is open in Node and Founding, the check for one first roster in five scenarios. Behaviour as before.

--- a/benchmarks/linked_gateways.py
+++ b/benchmarks/linked_gateways.py
@@ -65,8 +65,7 @@
         """Sends the node's mail; nothing is kept on disk."""
         effects = self.node.effects
         while effects.mail or effects.saves:
-            mail, effects.mail[:] = list(effects.mail), []
-            saves, effects.saves[:] = list(effects.saves), []
+            mail, saves = effects.take()
             self.links.post(mail)
             for save in saves:
                 save.then(True)
--- a/embersill/edge/consensus/election.py
+++ b/embersill/edge/consensus/election.py
@@ -133,6 +133,11 @@
         self.promises, self.accepted, self.blank, self.proposed = {}, set(), set(), None
         return self.ballot
 
+    def newest(self) -> Promise:
+        """The promise with the latest roster that was taken; one with none where nobody has promised."""
+        nothing = Promise(self.ballot, NO_BALLOT, None)
+        return max(self.promises.values(), key=lambda one: one.accepted, default=nothing)
+
     def seen(self, ballot: VoteBallot) -> None:
         """Notes a ballot of any proposer's, so that the next attempt goes beyond it."""
         self.highest = max(self.highest, ballot.round)
@@ -181,10 +186,7 @@
 
     def recall(self) -> None:
         """Asks all other seeds what this one may have forgotten."""
-        ballot = self.ballots.next()
-        for name in self.linked():
-            if self.address_of(name) in self.seeds:
-                self.send(name, Recall(ballot, self.blank_seeds))
+        self.ask_others(Recall(self.ballots.next(), self.blank_seeds))
 
     def attempt(self) -> None:
         """Asks all seeds for their votes, under a new ballot."""
@@ -193,10 +195,14 @@
 
     def ask_all(self, asked: Prepare | Propose) -> None:
         """Asks the linked seeds, and this one."""
+        self.ask_others(asked)
+        self.asked(asked, lambda answer: self.answered(self.ip, answer))
+
+    def ask_others(self, asked: Question) -> None:
+        """Asks the linked seeds."""
         for name in self.linked():
             if self.address_of(name) in self.seeds:
                 self.send(name, asked)
-        self.asked(asked, lambda answer: self.answered(self.ip, answer))
 
     def send(self, name: str, body: Body) -> None:
         """Has a message go to a linked gateway."""
@@ -244,9 +250,9 @@
             ballots.blank.add(address)
         if {self.ip, *ballots.promises, *ballots.blank} != set(self.seeds):
             return
-        newest = max(ballots.promises.values(), key=lambda one: one.accepted, default=None)
-        accepted, roster = (newest.accepted, newest.roster) if newest is not None else (NO_BALLOT, None)
-        self.acceptor.keep(Vote(self.blank_seeds, ballots.ballot, accepted, roster), lambda: None)
+        newest = ballots.newest()
+        vote = Vote(self.blank_seeds, ballots.ballot, newest.accepted, newest.roster)
+        self.acceptor.keep(vote, lambda: None)
 
     def promised(self, address: str, promise: Promise) -> None:
         """With a majority's promises the newest roster that one of them took is proposed, else one's own."""
@@ -254,8 +260,7 @@
         ballots.promises[address] = promise
         if ballots.proposed is not None or len(ballots.promises) < majority(len(self.seeds)):
             return
-        newest = max(ballots.promises.values(), key=lambda one: one.accepted)
-        ballots.proposed = newest.roster or self.roster()
+        ballots.proposed = ballots.newest().roster or self.roster()
         if ballots.proposed is not None:
             self.ask_all(Propose(ballots.ballot, ballots.proposed))
 
--- a/embersill/edge/consensus/founding.py
+++ b/embersill/edge/consensus/founding.py
@@ -71,10 +71,9 @@
         self, me: Hello, peers: PeerSet, agreement: Agreement, stored: Stored, effects: Effects, now: float
     ) -> None:
         """`stored`: what this gateway's disk has; its vote in the election of the first epoch, or none."""
-        seeds = tuple(sorted([*peers.seeds, me.ip], key=address_key))
-        blank_seeds = seeds if me.core and me.ip in peers.all_seeds and stored.blank else ()
-        vote = stored.vote if stored.begun is None else None
-        self.election = Election(me.ip, me.boot, vote, effects, self.elected, blank_seeds)
+        is_blank_seed = stored.blank and me.core and me.ip in peers.all_seeds
+        blank_seeds = tuple(sorted(peers.all_seeds, key=address_key)) if is_blank_seed else ()
+        self.election = Election(me.ip, me.boot, stored.open_vote, effects, self.elected, blank_seeds)
         self.election.open = lambda: agreement.roster is None
         self.election.roster = self.first_roster
         self.election.linked = lambda: list(peers.linked)
@@ -186,9 +185,10 @@
         return {name: Seat(seat.ip, stores.get(name, seat.store)) for name, seat in members.items()}
 
     def zones(self) -> dict[str, str]:
-        """Zones of the gateways that are known here, by name."""
-        seen = {name: hello.zone for name, hello in self.peers.seen.items()}
-        return {**seen, self.me.name: self.me.zone}
+        """Zones of the members, as far as they are known here, by name."""
+        roster, seen = self.agreement.roster, self.peers.seen
+        known = {name: seen[name].zone for name in (roster.members if roster else ()) if name in seen}
+        return {**known, self.me.name: self.me.zone}
 
     def shortfall(self) -> Shortfall | None:
         """What the members of the core can't bear; None if all that is asked for, or if there are none."""
--- a/embersill/edge/node.py
+++ b/embersill/edge/node.py
@@ -58,8 +58,7 @@
         now: float,
         beat_every: float = 1.0,
     ) -> None:
-        elector = stored.vote is not None and stored.begun is None
-        hello = msgspec.structs.replace(hello, elector=elector)
+        hello = msgspec.structs.replace(hello, elector=stored.open_vote is not None)
         self.me, self.now = hello, now
         self.effects = Effects()
         self.peers = PeerSet(hello, seeds, self.effects, now)
--- a/embersill/edge/program.py
+++ b/embersill/edge/program.py
@@ -199,8 +199,7 @@
         """Sends the node's mail and asks for its saves, until there is nothing more."""
         effects = self.node.effects
         while effects.mail or effects.saves:
-            mail, effects.mail[:] = list(effects.mail), []
-            saves, effects.saves[:] = list(effects.saves), []
+            mail, saves = effects.take()
             self.links.post(mail)
             for save in saves:
                 if self.store is not None:
--- a/embersill/edge/records.py
+++ b/embersill/edge/records.py
@@ -77,6 +77,11 @@
     state: State | None = None  # what was last in force here, once it was chosen
     vote: Vote | None = None  # a seed's, of the first epoch
 
+    @property
+    def open_vote(self) -> Vote | None:
+        """A seed's vote as long as no epoch has begun here; None for all others."""
+        return self.vote if self.begun is None else None
+
     @property
     def blank(self) -> bool:
         """True where nothing but a name was ever written."""
@@ -103,3 +108,10 @@
 
     mail: list[tuple[str, Message]] = field(default_factory=list)
     saves: list[Save] = field(default_factory=list)
+
+    def take(self) -> tuple[list[tuple[str, Message]], list[Save]]:
+        """Hands over what is to be done by now, and begins anew."""
+        mail, saves = list(self.mail), list(self.saves)
+        self.mail.clear()
+        self.saves.clear()
+        return mail, saves
--- a/embersill/lab/edge/control_fences.py
+++ b/embersill/lab/edge/control_fences.py
@@ -201,7 +201,7 @@
             "accepted-roster",
             ELECTION,
             "a proposer passes over the roster that a seed has taken",
-            "ballots.proposed = newest.roster or self.roster()",
+            "ballots.proposed = ballots.newest().roster or self.roster()",
             "ballots.proposed = self.roster()",
         ),
         FIRST_START,
--- a/embersill/lab/edge/days.py
+++ b/embersill/lab/edge/days.py
@@ -53,6 +53,21 @@
     {"kind": "wipe_after_ack", "down_s": 2.0},
 )
 
+STARTING_KINDS = (
+    "node_kill",
+    "herd_kill",
+    "replace_core",
+    "core_cut",
+    "node_cut",
+    "node_freeze",
+    "node_slow",
+    "disk_slow",
+    "disk_full",
+    "disk_stall",
+    "reset_conns",
+    "ack_lost",
+)
+
 
 def changes(chance: random.Random, count: int, latest: float = 26.0) -> list[Trouble]:
     """Changes of the configuration spread over the day."""
@@ -210,20 +225,6 @@
     return changes(chance, 5), faults
 
 
-STARTING_KINDS = (
-    "node_kill",
-    "herd_kill",
-    "replace_core",
-    "core_cut",
-    "node_cut",
-    "node_freeze",
-    "node_slow",
-    "disk_slow",
-    "disk_full",
-    "disk_stall",
-    "reset_conns",
-    "ack_lost",
-)
 ANYTHING = "anything"
 POINTS: dict[str, Callable[[random.Random], Troubles]] = {
     "cut_off": cut_off,
--- a/embersill/lab/edge/first_start.py
+++ b/embersill/lab/edge/first_start.py
@@ -46,6 +46,10 @@
         if roster.epoch == 1:
             self.found.add(msgspec.json.encode(roster, order="deterministic"))
 
+    def judge(self, report: Report) -> None:
+        """There was one first roster."""
+        report.expect(len(self.found) == 1, f"there are {len(self.found)} first rosters")
+
     def run(self, seconds: float) -> None:
         """Runs the cluster, and looks after each step."""
         until = self.fleet.kernel.now + seconds
@@ -93,7 +97,7 @@
     taken = ordered(fleet, 1, 0, fleet.machines, ACKNOWLEDGED_WITHIN)
     report.expect(taken is not None, "no order is taken once all are back")
     rosters.run(1.0)
-    report.expect(len(rosters.found) == 1, f"there are {len(rosters.found)} first rosters")
+    rosters.judge(report)
     return report
 
 
@@ -107,7 +111,7 @@
     rosters = FirstRosters(fleet)
     rosters.run(ALL_BACK_AFTER)
     report.expect(ordered(fleet, 1, 0, fleet.machines) is not None, "nobody founds any more")
-    report.expect(len(rosters.found) == 1, f"there are {len(rosters.found)} first rosters")
+    rosters.judge(report)
     return report
 
 
@@ -124,7 +128,7 @@
     rosters.run(ALL_BACK_AFTER + FOUNDED_WITHIN)
     report.expect(ordered(fleet, 1, 0, fleet.machines) is not None, "nobody founds any more")
     rosters.run(1.0)
-    report.expect(len(rosters.found) == 1, f"there are {len(rosters.found)} first rosters")
+    rosters.judge(report)
     return report
 
 
@@ -141,7 +145,7 @@
     report.expect(ordered(fleet, 1, 0, others) is not None, "nobody founds in the place of the founder")
     fleet.heal()
     rosters.run(2.0)
-    report.expect(len(rosters.found) == 1, f"there are {len(rosters.found)} first rosters")
+    rosters.judge(report)
     return report
 
 
@@ -165,5 +169,5 @@
         kill_for(fleet, other_seeds[1], now, 0.2)
     rosters.run(AWAY_FOR + FOUNDED_WITHIN)
     report.expect(ordered(fleet, 1, 0, fleet.machines) is not None, "no order is taken once all are back")
-    report.expect(len(rosters.found) == 1, f"there are {len(rosters.found)} first rosters")
+    rosters.judge(report)
     return report
--- a/embersill/lab/edge/fleet.py
+++ b/embersill/lab/edge/fleet.py
@@ -149,9 +149,7 @@
     def carry_out(self) -> None:
         """Sends mail over the links there are, and begins saves."""
         while self.node is not None and (self.node.effects.mail or self.node.effects.saves):
-            effects = self.node.effects
-            mail, effects.mail[:] = list(effects.mail), []
-            saves, effects.saves[:] = list(effects.saves), []
+            mail, saves = self.node.effects.take()
             for peer, message in mail:
                 self.fleet.send(self, peer, message)
             for save in saves:
