--- a/embersill/edge/store.py
+++ b/embersill/edge/store.py
@@ -2,6 +2,10 @@
 
 Each value carries a checksum. lmdb writes a page anew and syncs it before the page that names it, so that a
 loss of power leaves the value before or the one after (SIGMOD has it as shadow paging; Chu 2011, "MDB").
+
+Where the page that names the others could not be written, as on a disk that filled up in between, lmdb
+refuses all later writes of that environment. It is opened anew then: else this member would keep nothing
+until its process ends, with the disk long well again.
 """
 
 from __future__ import annotations
@@ -31,10 +35,12 @@
 
 
 def framed(data: bytes) -> bytes:
+    """A value as it is kept, behind its checksum."""
     return zlib.crc32(data).to_bytes(4, "big") + data
 
 
 def unframed(data: bytes) -> bytes | None:
+    """What was kept; None if it does not agree with its checksum."""
     return data[4:] if len(data) >= 4 and zlib.crc32(data[4:]).to_bytes(4, "big") == data[:4] else None
 
 
@@ -59,12 +65,16 @@
     """What values mean, or which of them means nothing."""
     begun, kept = found.get("begun"), found.get("remembered")
     try:
-        return Ok(Stored(
-            found["store"].decode(),
-            msgspec.json.decode(begun, type=Begun) if begun else None,
-            msgspec.msgpack.decode(kept, type=Remembered) if kept else None,
-            found.get("backends", b""), int(found.get("gateways", b"0")),
-            msgspec.msgpack.decode(found["state"], type=State) if "state" in found else None))
+        return Ok(
+            Stored(
+                found["store"].decode(),
+                msgspec.json.decode(begun, type=Begun) if begun else None,
+                msgspec.msgpack.decode(kept, type=Remembered) if kept else None,
+                found.get("backends", b""),
+                int(found.get("gateways", b"0")),
+                msgspec.msgpack.decode(found["state"], type=State) if "state" in found else None,
+            )
+        )
     except (msgspec.MsgspecError, KeyError, ValueError) as error:
         return Error(f"{folder}: a value that is none: {error}")
 
@@ -89,22 +99,46 @@
     """One folder. Reads at the start; later saves come one by one, each answered once it is on disk."""
 
     def __init__(self, folder: Path, disk_mb: float) -> None:
+        """`disk_mb`: the size of the whole disk. lmdb.Error, OSError where it can't be opened."""
         self.folder = folder
-        size = int(min(max(disk_mb * MOST_PART * (1 << 20), LEAST_MAP), MOST_MAP))
+        self.map_size = int(min(max(disk_mb * MOST_PART * (1 << 20), LEAST_MAP), MOST_MAP))
         folder.mkdir(parents=True, exist_ok=True)
-        self.environment = lmdb.open(str(folder / "state"), map_size=size, lock=False, max_dbs=0)
+        self.environment = self.open(create=True)
+        self.unusable = False  # the environment refuses all writes, whatever the disk does
         self.waiting: queue.Queue[Save | None] = queue.Queue(MOST_WAITING)
         self.loop: asyncio.AbstractEventLoop | None = None
         self.thread: threading.Thread | None = None
         self.done: Callable[[Save, bool], None] = lambda save, good: save.then(good)
         self.failing = False
 
+    def open(self, create: bool) -> lmdb.Environment:
+        """The folder's environment, opened; `create`: made where there is none."""
+        place = str(self.folder / "state")
+        return lmdb.open(place, map_size=self.map_size, lock=False, max_dbs=0, create=create)
+
     def write(self, values: dict[str, bytes]) -> None:
         """All of them or none; on disk once it returns. lmdb.Error, OSError where the disk refuses."""
+        if self.unusable:
+            self.reopen()
+        try:
+            self.put(values)
+        except lmdb.PanicError:
+            self.reopen()
+            self.put(values)
+
+    def put(self, values: dict[str, bytes]) -> None:
+        """One transaction with these values."""
         with self.environment.begin(write=True) as transaction:
             for name, value in values.items():
                 transaction.put(name.encode(), framed(value))
 
+    def reopen(self) -> None:
+        """Opens the environment anew after a write that lmdb can't go on from."""
+        self.unusable = True
+        self.environment.close()
+        self.environment = self.open(create=False)
+        self.unusable = False
+
     def begin(self, fresh: Callable[[], str]) -> Result[Stored, str]:
         """What the disk remembers; an empty one is named, with a nonce, before anything rests on it."""
         read = read_values(self.environment, self.folder)
@@ -124,12 +158,14 @@
         self.thread.start()
 
     def save(self, save: Save) -> None:
+        """Has it written after those that wait; it has failed at once where too many do."""
         try:
             self.waiting.put_nowait(save)
         except queue.Full:
             self.done(save, False)
 
     def run(self) -> None:
+        """The thread that writes, until it is told to end."""
         while (save := self.waiting.get()) is not None:
             good, why = True, ""
             try:
--- /dev/null
+++ b/embersill/lab/edge/troubles.py
@@ -0,0 +1,128 @@
+"""All kinds of trouble that the users' bench can play, with the variants of each, to draw days from.
+
+The kinds and their fields are those that `fleetbench kinds SITE` lists. Times are in seconds.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+from typing import Any
+
+Trouble = dict[str, Any]  # as a day has them: `kind`, `at` in seconds, and what belongs to the kind
+EARLIEST, LATEST = 1.0, 24.0  # from the start of traffic: when a trouble begins
+LASTS = (1.5, 3.0, 6.0, 12.0)
+
+
+@dataclass(frozen=True, slots=True)
+class Kind:
+    """One kind of trouble, and what a drawn one of it may look like."""
+
+    name: str
+    variants: tuple[str, ...] = ("",)
+    planned: bool = False  # the operators' own work, not a fault
+    lasts: bool = True  # it has a duration
+    fields: Trouble = field(default_factory=dict)
+    strengths: tuple[float, ...] = ()  # one of these is its `x`
+
+    def draw(self, chance: random.Random) -> Trouble:
+        """One trouble of this kind at a drawn moment."""
+        trouble: Trouble = {"kind": self.name, "at": round(chance.uniform(EARLIEST, LATEST), 2)}
+        trouble |= self.fields
+        how = chance.choice(self.variants)
+        if how:
+            trouble["how"] = how
+        if self.lasts:
+            trouble["for_s"] = chance.choice(LASTS)
+        if self.strengths:
+            trouble["x"] = chance.choice(self.strengths)
+        return trouble
+
+
+ON_CORE = {"on": "core", "count": 1}
+PLANNED = (
+    Kind("release", planned=True, lasts=False, fields={"share": 0.4, "gap_s": 1.0}, strengths=(1.0, 2.0)),
+    Kind("scale_in", ("", "spot", "reclaim"), True, False, {"share": 0.15}, (2.0,)),
+    Kind("scale_out", planned=True, lasts=False, fields={"share": 0.3, "gap_s": 3.0}),
+    Kind("replace_with_reuse", ("drain",), True, False, {"share": 0.15}),
+    Kind("roll_term", ("", "busy", "remove"), True, False, {"share": 0.4, "gap_s": 1.5}, (1.0, 2.0)),
+    Kind("replace_core", ("planned", "oldest planned"), True, False, {}, (0.5, 1.0, 2.0)),
+    Kind("seed_turnover", planned=True, lasts=False),
+    Kind("hup", planned=True, lasts=False, fields={"share": 0.5, "gap_s": 2.0}),
+    Kind("config_change", ("route", "weights", "timeout", "tenant", "quota", "topup", "idle"), True, False),
+    Kind("config_race", planned=True, lasts=False, fields={"count": 3, "gap_s": 0.8}),
+    Kind("big_config", planned=True, lasts=False, fields={"count": 300}),
+    Kind("revoke", planned=True, lasts=False, fields={"count": 2, "gap_s": 1.0}),
+    Kind(
+        "bad_config",
+        (
+            "cut_short",
+            "unknown_service",
+            "same_place",
+            "no_weight",
+            "no_timeout",
+            "old_version",
+            "same_version",
+            "stale_match",
+            "shared_key",
+        ),
+        True,
+        False,
+        {"count": 2, "gap_s": 0.7},
+    ),
+)
+FAULTS = (
+    Kind("hot_tenant", fields={"count": 1}, strengths=(6.0, 10.0)),
+    Kind("srv_crash", ("", "silent", "gone"), fields={"share": 0.15}),
+    Kind("answer_lost", ("", "reset"), fields={"share": 0.5}, strengths=(0.03, 0.06)),
+    Kind(
+        "garble", ("", "extra", "extra late", "unframed", "early"), fields={"share": 0.5}, strengths=(0.03,)
+    ),
+    Kind("node_kill", ("", "power"), fields={"share": 0.2}),
+    Kind("node_kill", ("leader", "leader race drain", "meet drain", "seed", "hard"), fields=ON_CORE),
+    Kind("herd_kill", ("", "power"), fields={"share": 0.6}),
+    Kind("herd_kill", ("", "off", "taken"), fields={"on": "core", "share": 1.0}),
+    Kind("replace_core", ("", "oldest", "leader"), lasts=False, strengths=(0.5, 1.0, 2.0)),
+    Kind("after_ack_kill", ("", "kill", "timed")),
+    Kind("after_ack_wipe", ("", "oldest", "timed")),
+    Kind(
+        "core_cut",
+        (
+            "",
+            "behind",
+            "split",
+            "all",
+            "near",
+            "oldest",
+            "one_way",
+            "seeds",
+            "both",
+            "lure",
+            "relieve",
+            "leader race",
+            "leader meet",
+            "oldest drain",
+        ),
+        fields={"count": 1},
+    ),
+    Kind("node_cut", ("", "all", "servers"), fields={"share": 0.2}),
+    Kind("burst", strengths=(1.5, 2.0)),
+    Kind("retry_abuse", fields={"share": 0.3}, strengths=(2.0, 4.0)),
+    Kind("give_up", fields={"share": 0.4}),
+    Kind("srv_slow", fields={"share": 0.2}, strengths=(3.0, 6.0)),
+    Kind("srv_grey", fields={"share": 0.15}),
+    Kind("srv_lying_health", fields={"share": 0.2}),
+    Kind("srv_flap", fields={"share": 0.15}),
+    Kind("replace_with_reuse", ("", "dark"), lasts=False, fields={"share": 0.15}),
+    Kind("idle_race", fields={"share": 0.5}),
+    Kind("node_freeze", fields={"share": 0.2}),
+    Kind("node_freeze", fields=ON_CORE),
+    Kind("node_slow", fields={"share": 0.2}, strengths=(4.0,)),
+    Kind("disk_slow", fields={"count": 1}, strengths=(30.0,)),
+    Kind("disk_full", fields={"count": 1}),
+    Kind("disk_stall", fields={"count": 1}),
+    Kind("clock_step", ("", "back", "ahead"), fields={"share": 0.5}, strengths=(2000.0,)),
+    Kind("reset_conns", fields={"share": 0.3}, strengths=(0.5, 1.0)),
+    Kind("reset_conns", fields={**ON_CORE}, strengths=(1.0,)),
+    Kind("ack_lost", strengths=(0.5, 0.8)),
+)
--- a/tests/edge/test_fences.py
+++ b/tests/edge/test_fences.py
@@ -120,6 +120,9 @@
         "one-transaction", PERSISTENCE, "a member votes in an epoch that its disk does not have",
         "if not self.epoch_on_disk:\n            values[BEGUN]",
         "if not self.epoch_on_disk and not self.register.remembers:\n            values[BEGUN]")),
+    ("test_store.py::test_a_disk_that_fills_up_within_a_save_is_written_to_again_once_it_has_room", Fence(
+        "opened-anew", "embersill.edge.store", "a member keeps nothing any more after a save that broke off",
+        "except lmdb.PanicError:\n            self.reopen()", "except lmdb.PanicError:\n            pass")),
     (CONTROL + "an_answer_to_an_earlier_life_is_no_answer_to_this_one", Fence(
         "own-life", NODE, "an answer to an earlier life is taken for this one's",
         'if kind in ANSWERS and message["life"] != self.me.boot:', "if False:")),
--- a/tests/edge/test_store.py
+++ b/tests/edge/test_store.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import json
+import os
 import random
 from pathlib import Path
 from typing import Any
@@ -136,6 +138,45 @@
         assert (transaction.get(b"gateways") or b"")[4:] == b"11"
 
 
+def descriptor_of_the_naming_page(folder: Path) -> int:
+    """lmdb writes the page that names the others through a descriptor of its own, which syncs each write."""
+    kept_in = folder / "state" / "data.mdb"
+    ours = [int(one.name) for one in Path("/proc/self/fd").iterdir() if one.resolve() == kept_in]
+    syncs = [descriptor for descriptor in ours if fcntl.fcntl(descriptor, fcntl.F_GETFL) & os.O_DSYNC]
+    assert len(syncs) == 1
+    return syncs[0]
+
+
+def test_a_disk_that_fills_up_within_a_save_is_written_to_again_once_it_has_room(tmp_path: Path) -> None:
+    """The save's pages are in, the one that names them is refused: lmdb refuses all writes from then on."""
+    store = kept(tmp_path)
+    naming = descriptor_of_the_naming_page(tmp_path)
+    good, refuses = os.dup(naming), os.open(tmp_path / "state" / "data.mdb", os.O_RDONLY)
+    os.dup2(refuses, naming)
+    with pytest.raises(lmdb.Error):
+        store.write({"state": b"lost"})
+    os.dup2(good, naming)
+    for value in (b"1", b"2"):
+        store.write({"gateways": value})
+    store.environment.close()
+    for descriptor in (good, refuses):
+        os.close(descriptor)
+    with lmdb.open(str(tmp_path / "state"), readonly=True, lock=False) as read, read.begin() as transaction:
+        assert (transaction.get(b"gateways") or b"")[4:] == b"2"
+
+
+def test_a_folder_that_can_not_be_opened_anew_is_tried_at_each_save(tmp_path: Path) -> None:
+    store = kept(tmp_path)
+    store.unusable = True
+    (tmp_path / "state").rename(tmp_path / "away")
+    for _ in range(2):
+        with pytest.raises((lmdb.Error, OSError)):
+            store.write({"gateways": b"5"})
+    (tmp_path / "away").rename(tmp_path / "state")
+    store.write({"gateways": b"6"})
+    assert not store.unusable
+
+
 def test_settings_and_configurations_are_checked_by_the_command(tmp_path: Path, capsys: Output) -> None:
     assert main(["check", "settings", str(settings_file(tmp_path, None))]) == 0
     assert json.loads(capsys.readouterr().out)["keeps_state"] is False
