--- a/embersill/edge/dataplane/handlers.py
+++ b/embersill/edge/dataplane/handlers.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from embersill.edge.dataplane.dialect import OWN
+from embersill.edge.dataplane.metrics import CONTENT_TYPE, Metrics
 from embersill.edge.configuration.routes import PUBLIC, Table, Way
 from embersill.edge.verdict import Verdict
 from embersill.net.calls import BadRequest
@@ -199,18 +200,21 @@
 
 
 class ReadinessHandler:
-    """The platform asks whether new clients may come here."""
+    """The platform asks whether new clients may come here, and how the gateway fares."""
 
-    def __init__(self, is_ready: Callable[[], bool]) -> None:
-        self.is_ready = is_ready
+    def __init__(self, is_ready: Callable[[], bool], metrics: Metrics) -> None:
+        self.is_ready, self.metrics = is_ready, metrics
 
     def take(self, connection: ClientConnection, exchange: Exchange, method: bytes) -> None:
         """Answers the platform's question."""
-        if connection.target.partition(b"?")[0] != b"/api/readiness":
+        path = connection.target.partition(b"?")[0]
+        if path not in (b"/api/readiness", b"/api/metrics"):
             raise BadRequest(404, "no such path")
         if method not in (b"GET", b"HEAD"):
             raise BadRequest(405, "only GET", b"Allow: GET\r\n")
-        exchange.answer(200 if self.is_ready() else 503, b"")
+        if path == b"/api/metrics":
+            return exchange.answer(200, b"" if method == b"HEAD" else self.metrics.text(), CONTENT_TYPE)
+        return exchange.answer(200 if self.is_ready() else 503, b"")
 
 
 @lru_cache(maxsize=1)
--- a/embersill/edge/program.py
+++ b/embersill/edge/program.py
@@ -30,6 +30,7 @@
 from embersill.edge.peers.peer_set import Hello
 from embersill.edge.configuration.routes import WARM_WITHIN, Table, settings_for
 from embersill.edge.storage.store import Store
+from embersill.edge.dataplane.metrics import Metrics
 from embersill.edge.dataplane.tally import Tally
 from embersill.interface import Backend, Configured, ListKind, Settings, Status
 from embersill.net.backends import Pool
@@ -104,12 +105,14 @@
         self.handler = ClientHandler(lambda: self.driver, self.chance)
         self.handler.on_stopped = self.node.reports.figures.turned_away
         self.front = self.door(clients, self.handler, ROOM)
-        self.ready = self.door(32, ReadinessHandler(self.is_ready), 0)
+        self.metrics = Metrics(self.driver, self.gateway, self.front)
+        self.ready = self.door(32, ReadinessHandler(self.is_ready, self.metrics), 0)
         self.control = self.door(CONTROL_MOST, ControlHandler(self.control_called), CONTROL_ROOM)
         port = local["internal_port_range"][0]
         self.links = Links(self.node, self.clock, local["ip_address"], port, self.node.peers.targets)
         self.links.flush = self.carry_out
         self.ticker: asyncio.TimerHandle | None = None
+        self.tick_due = now
         self.stopping = False
 
     def door(self, most: int, desk: Any, room: int) -> Front:
@@ -215,6 +218,8 @@
     def tick(self) -> None:
         """What is due by now; called every `TICK` seconds."""
         self.ticker = self.loop.call_later(TICK, self.tick)
+        self.metrics.timer_late(self.clock() - self.tick_due)
+        self.tick_due = self.clock() + TICK
         try:
             self.node.tick(self.clock())
             self.links.tick()
--- a/embersill/net/clients.py
+++ b/embersill/net/clients.py
@@ -17,6 +17,7 @@
 from embersill.interface import Settings
 from embersill.net.backends import BackendConnection
 from embersill.net.calls import BadRequest, CallReader
+from embersill.net.disconnects import LeftBy
 from embersill.net.driver import Driver
 
 MOST_BODY = 64 * 1024  # bytes of a request's body, by the protocol
@@ -351,6 +352,7 @@
         self.ended = True
         if self.closing or not self.exchanges:
             return False
+        self.front.driver.disconnects.connection_ended(LeftBy.CLOSE)
         return True
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -362,9 +364,11 @@
         exchanges, self.exchanges = self.exchanges, deque()
         self.front.give_back(self.reserved + sum(e.reserved for e in exchanges))
         self.reserved = 0
-        for exchange in exchanges:
-            if exchange.number and (exchange.text is None or exchange.source is not None):
-                self.front.driver.client_left(exchange.number)
+        unanswered = [e for e in exchanges if e.number and (e.text is None or e.source is not None)]
+        if unanswered:
+            self.front.driver.disconnects.connection_ended(LeftBy.RESET)
+        for exchange in unanswered:
+            self.front.driver.client_left(exchange.number)
 
     def ends_with(self, exchange: Exchange) -> bool:
         """While the gateway stops: True for the last that was taken here, which is to say so in its answer.
--- a/embersill/net/driver.py
+++ b/embersill/net/driver.py
@@ -19,6 +19,7 @@
 )
 from embersill.net.backends import Answer, Attempt, BackendConnection, Pool, Sink
 from embersill.net.deadlines import Deadline
+from embersill.net.disconnects import ClientDisconnects
 from embersill.net.discovery import Listing
 
 if TYPE_CHECKING:
@@ -70,8 +71,8 @@
     """A request that was taken, until it has its answer and the last of its attempts has ended."""
 
     __slots__ = (
-        "attempts", "call", "driver", "end", "error", "exchange", "guard", "number", "out", "over",
-        "streamed",
+        "attempts", "call", "driver", "end", "error", "exchange", "guard", "left_at", "number", "out",
+        "over", "streamed",
     )
 
     def __init__(self, driver: Driver, number: int, call: Call, exchange: Exchange) -> None:
@@ -83,6 +84,7 @@
         self.guard: Deadline | None = None
         self.error: Answer | None = None  # a backend's own answer that is none of success
         self.streamed: Attempt | None = None  # the one whose answer is being passed on
+        self.left_at = 0.0  # when its client was seen to have left without an answer; 0: it has not
 
     def attempt_began(self, attempt: Attempt, headers: bytes, length: int | None,
                       source: BackendConnection) -> Sink | None:
@@ -130,6 +132,7 @@
         self.serving: set[str] = set()  # backends that the list shows as serving
         self.listed: set[str] = set()  # these and those that drain
         self.figures: Figures | None = None
+        self.disconnects = ClientDisconnects()
         self.events: deque[tuple[Event, float]] = deque()
         self.handling = False
         self.carry: dict[type, Callable[..., None]] = {
@@ -160,6 +163,8 @@
     def client_left(self, number: int) -> None:
         pending = self.pending.get(number)
         if pending is not None and not pending.over:
+            pending.left_at = self.clock()
+            self.disconnects.requests += 1
             self.finish(pending)
             self.post(ClientLeft(number))
 
@@ -218,6 +223,10 @@
 
     def attempt_ended(self, pending: Pending, attempt: Attempt, answer: Answer) -> None:
         pending.out -= 1
+        if pending.left_at:
+            self.disconnects.attempt_ended(
+                self.clock() - pending.left_at, written=attempt.written,
+                cancelled=answer.outcome is Outcome.CANCELLED)
         if pending.streamed is attempt and not pending.over:
             self.finish(pending, 200 if answer.outcome is Outcome.SERVED else 502)
         elif answer.outcome is Outcome.SERVED and not pending.over:
