--- a/embersill/edge/dataplane/gateway.py
+++ b/embersill/edge/dataplane/gateway.py
@@ -18,9 +18,10 @@
 from embersill.edge.dataplane.admission import HELD_PART, EdgeAdmission
 from embersill.edge.dataplane.attempts import EdgeAttempts
 from embersill.edge.dataplane.backend_choice import FAR, EdgeBackends, LoadedFleet
+from embersill.edge.dataplane.lingering import TIMER as LINGERING
 from embersill.edge.rollout.watch import ByKind, Watch
 from embersill.edge.throttling.figures import Figures
-from embersill.interface import Configured, Lent, Others, Settings, Sliced
+from embersill.interface import Configured, Lent, Others, Settings, Sliced, TimerDue
 
 
 class EdgeGateway(Gateway):
@@ -68,6 +69,12 @@
         attempts = EdgeAttempts(self.turn, self.totals, backends)
         return backends, attempts, EdgeAdmission(self.turn, self.totals, attempts)
 
+    def timer_due(self, event: TimerDue) -> None:
+        """A timer of the decisions is due."""
+        if event.key.startswith(LINGERING):
+            return self.attempts.lingering.end(int(event.key[len(LINGERING) :]))
+        return super().timer_due(event)
+
     def others(self, event: Others) -> None:
         """What other gateways have out at backends, by their keepers."""
         for name, count in event.out.items():
--- a/embersill/edge/dataplane/handlers.py
+++ b/embersill/edge/dataplane/handlers.py
@@ -78,6 +78,10 @@
         self.table: Table | None = None
         self.early: list[Early] = []
         self.on_stopped: Callable[[str], None] = lambda tenant: None  # one of its requests is turned away
+        # True while the process is behind: a client may have left between its request and now
+        self.is_behind: Callable[[], bool] = lambda: False
+        # calls something once the sockets have been looked at again, so that a client's leave is known
+        self.after_next_look: Callable[[Callable[[], None]], None] = lambda call: call()
         self.longest: dict[str, float] = {}  # by route, the most time that clients come with
 
     def is_repeat(self, way: Way, left: float) -> bool:
@@ -88,26 +92,37 @@
 
     def take(self, connection: ClientConnection, exchange: Exchange, method: bytes) -> None:
         """Takes a client's request whose head is read; BadRequest for one that is turned away."""
-        if self.table is not None:
+        if self.table is not None and not self.is_behind():
             return self.place(self.table, connection, exchange, method)
-        # a gateway that has just started: where clients come again only once, a 503 would lose them
-        if len(self.early) >= MOST_EARLY:
-            raise BadRequest(503, "no configuration yet", SOON)
         arrived = Arrived(
             connection.target, connection.headers, connection.body, connection.body_size, connection.received
         )
+        if self.table is not None:
+            return self.after_next_look(lambda: self.place_late(arrived, exchange, method))
+        # a gateway that has just started: where clients come again only once, a 503 would lose them
+        if len(self.early) >= MOST_EARLY:
+            raise BadRequest(503, "no configuration yet", SOON)
         told = left_of(arrived.headers)
         left = float(told) / 1000.0 if LEFT.fullmatch(told) else EARLY_FOR
         until = arrived.received + min(EARLY_FOR, EARLY_PART * left)
         self.early.append(Early(arrived, exchange, method, until))
         return None
 
+    def place_late(self, arrived: Arrived, exchange: Exchange, method: bytes) -> None:
+        """Places a request that was read by a process that is behind, unless its client has left by now."""
+        if exchange.connection.left or self.table is None:
+            return
+        try:
+            self.place(self.table, arrived, exchange, method)
+        except BadRequest as error:
+            exchange.connection.refuse(exchange, error)
+
     def begin(self, table: Table) -> None:
         """This configuration holds from now on, also for requests that came before there was any."""
         self.table = table
         early, self.early = self.early, []
         for one in early:
-            if one.exchange.connection.transport is None:
+            if one.exchange.connection.left:
                 continue  # its client has gone
             try:
                 self.place(table, one.arrived, one.exchange, one.method)
--- a/embersill/edge/program.py
+++ b/embersill/edge/program.py
@@ -9,6 +9,7 @@
 import random
 import time
 import zlib
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -50,6 +51,8 @@
 STOP_AT_LATEST = 0.7  # seconds before the platform's own end
 SEEN_LEAVING = 2.3  # seconds after SIGTERM in which clients may still be sent here
 SHORT = 0.05
+BEHIND_BY = 0.1  # seconds that a tick comes late, from which clients may have left before they are read
+BEHIND_FOR = 0.5  # seconds after such a tick in which that is looked for
 
 log = logging.getLogger("embersill.edge")
 
@@ -103,6 +106,7 @@
         sums = self.node.demand.sums
         sums.overshoot, sums.slack = bound(local, "quota_overshoot", 0.0), bound(local, "quota_slack", 0.0)
         self.handler = ClientHandler(lambda: self.driver, self.chance)
+        self.handler.is_behind, self.handler.after_next_look = self.is_behind, self.after_next_look
         self.handler.on_stopped = self.node.reports.figures.turned_away
         self.front = self.door(clients, self.handler, ROOM)
         self.metrics = Metrics(self.driver, self.gateway, self.front)
@@ -112,7 +116,7 @@
         self.links = Links(self.node, self.clock, local["ip_address"], port, self.node.peers.targets)
         self.links.flush = self.carry_out
         self.ticker: asyncio.TimerHandle | None = None
-        self.tick_due = now
+        self.tick_due, self.behind_until = now, 0.0
         self.stopping = False
 
     def door(self, most: int, desk: Any, room: int) -> Front:
@@ -218,8 +222,7 @@
     def tick(self) -> None:
         """What is due by now; called every `TICK` seconds."""
         self.ticker = self.loop.call_later(TICK, self.tick)
-        self.metrics.timer_late(self.clock() - self.tick_due)
-        self.tick_due = self.clock() + TICK
+        self.note_delay(self.clock())
         try:
             self.node.tick(self.clock())
             self.links.tick()
@@ -232,6 +235,25 @@
         except Exception:
             log.exception("a tick went wrong")
 
+    def note_delay(self, now: float) -> None:
+        """Notes by how much a tick came late: by so much all else that has come is read late."""
+        late = now - self.tick_due
+        self.tick_due = now + TICK
+        self.metrics.timer_late(late)
+        if late > BEHIND_BY:
+            self.behind_until = now + BEHIND_FOR
+
+    def is_behind(self) -> bool:
+        """True while requests are read some time after they came."""
+        return self.clock() < self.behind_until
+
+    def after_next_look(self, call: Callable[[], None]) -> None:
+        """Calls something after the loop has looked at its sockets once more.
+
+        What is called soon may run before that look; what it calls soon in its turn runs after it.
+        """
+        self.loop.call_soon(self.loop.call_soon, call)
+
     # from start to stop
 
     async def start(self) -> None:
--- a/embersill/net/clients.py
+++ b/embersill/net/clients.py
@@ -22,7 +22,8 @@
 
 MOST_BODY = 64 * 1024  # bytes of a request's body, by the protocol
 MOST_HEAD = 32 * 1024  # bytes of request line and headers: a generous browser sends a quarter of it
-MOST_PIPELINED = 16  # requests under way on one connection: further ones stay unread
+MOST_PIPELINED = 16  # requests under way on one connection: further ones are not parsed
+READ_AHEAD = 8192  # bytes that are read beyond these: a connection that is not read does not tell of its end
 PIECE = 8192  # bytes given to the parser at a time: so many small requests at most go past that bound
 SETTLED = 0.1  # seconds unused from which a connection may make way: a new one brings its request at once
 READ_WITHIN = 2.0  # seconds for a request to come whole, and for a new connection to send anything at all
@@ -124,6 +125,7 @@
         self.unread = b""
         self.used = False  # a request was begun on it: empty lines are none
         self.paused = self.ended = self.closing = self.stuck = self.parsing = False
+        self.left = False  # the client has closed the connection, or it broke
         self.in_request, self.in_head, self.head_size = False, False, 0
         self.reserved = 0  # bytes of the room for long bodies
         self.start_request()
@@ -268,9 +270,9 @@
         return self.stuck or len(self.exchanges) >= MOST_PIPELINED
 
     def pace(self) -> None:
-        """Stops reading while enough is under way: a client that only sends can't fill the memory."""
-        full = self.is_full() or bool(self.unread) or self.rest is not None
-        if self.transport is None or full == self.paused or self.ended:
+        """Stops reading once enough has come: a client that only sends can't fill the memory."""
+        full = not self.ended and (len(self.unread) > READ_AHEAD or self.rest is not None)
+        if self.transport is None or full == self.paused or self.closing:
             return
         self.paused = full
         if full:
@@ -348,28 +350,38 @@
             self.transport.abort() if self.stuck else self.transport.close()
 
     def eof_received(self) -> bool:
-        """The client sends no more. It may still read: only a broken connection tells that it has gone."""
-        self.ended = True
-        if self.closing or not self.exchanges:
-            return False
-        self.front.driver.disconnects.connection_ended(LeftBy.CLOSE)
-        return True
+        """The client has left: an end of its stream can't be told from a closed connection."""
+        self.leave(LeftBy.CLOSE)
+        return False  # the transport writes what it still holds, and closes
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.front.connections.discard(self)
         self.transport = self.parser = None  # the parser knows its connection: parted, both are freed at once
-        self.ended = True
         if self.rest is not None:
             self.rest.cancel()
+        self.leave(LeftBy.RESET)
+
+    def leave(self, how: LeftBy) -> None:
+        """The client is gone: its unanswered requests have nobody to go to. The first call counts."""
+        self.ended = self.left = True
+        self.unread = b""
+        if not self.closing:
+            self.closing, self.ended_at = True, self.front.clock()
         exchanges, self.exchanges = self.exchanges, deque()
         self.front.give_back(self.reserved + sum(e.reserved for e in exchanges))
         self.reserved = 0
         unanswered = [e for e in exchanges if e.number and (e.text is None or e.source is not None)]
         if unanswered:
-            self.front.driver.disconnects.connection_ended(LeftBy.RESET)
+            self.front.driver.disconnects.connection_ended(how)
         for exchange in unanswered:
             self.front.driver.client_left(exchange.number)
 
+    def has_closed(self) -> bool:
+        """True if the client has closed a connection that is not being read."""
+        poll = select.poll()
+        poll.register(self.descriptor, select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     def ends_with(self, exchange: Exchange) -> bool:
         """While the gateway stops: True for the last that was taken here, which is to say so in its answer.
 
@@ -402,6 +414,9 @@
         if self.closing:
             if now - self.ended_at > LINGER:
                 self.drop()
+        elif self.paused and self.exchanges and self.has_closed():
+            self.leave(LeftBy.CLOSE)
+            self.drop()
         elif self.stuck:
             if now - self.stuck_since > UNREAD_LIMIT:
                 self.drop()
--- a/embersill/net/driver.py
+++ b/embersill/net/driver.py
@@ -167,6 +167,7 @@
             self.disconnects.requests += 1
             self.finish(pending)
             self.post(ClientLeft(number))
+            self.forget(pending)
 
     def list_told(self, listing: Listing) -> None:
         backends: list[Backend] = []
@@ -225,7 +226,7 @@
         pending.out -= 1
         if pending.left_at:
             self.disconnects.attempt_ended(
-                self.clock() - pending.left_at, written=attempt.written,
+                self.clock() - pending.left_at, written=not answer.outcome.came_nowhere,
                 cancelled=answer.outcome is Outcome.CANCELLED)
         if pending.streamed is attempt and not pending.over:
             self.finish(pending, 200 if answer.outcome is Outcome.SERVED else 502)
--- a/tests/bed.py
+++ b/tests/bed.py
@@ -75,6 +75,14 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         self.writer.transport.abort()
 
+    def close(self) -> None:
+        """Ends the connection in order."""
+        self.writer.close()
+
+    def half_close(self) -> None:
+        """Ends its own direction only."""
+        self.writer.write_eof()
+
     async def closed(self) -> bool:
         """Waits for the gateway to close; False if it sends something more first."""
         async with asyncio.timeout(SOON):
