--- a/embersill/lab/__main__.py
+++ b/embersill/lab/__main__.py
@@ -15,7 +15,7 @@
 from rich.table import Table
 
 from embersill.lab import commands, faults
-from embersill.lab.edge import control_command, days, plots, sites, totals, trying
+from embersill.lab.edge import control_command, days, plots, sites, soak_command, totals, trying
 from embersill.rig.deployment import Deployment, Shape, play
 from embersill.lab.fuzzing import command as fuzzing
 
@@ -100,6 +100,7 @@
     days.add_to(others)
     plots.add_to(others)
     trying.add_to(others)
+    soak_command.add_to(others)
     return parser.parse_args()
 
 
@@ -121,6 +122,8 @@
         return days.main(options)
     if options.what == "lapse-plot":
         return plots.main(options)
+    if options.what == "soak":
+        return soak_command.main(options)
     if options.what == "town":
         return trying.main(options)
     told = uvloop.run(run_deployment(options))
--- a/embersill/rig/hall.py
+++ b/embersill/rig/hall.py
@@ -12,11 +12,11 @@
 import random
 import sys
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from pathlib import Path
 from types import TracebackType
-from typing import Any
+from typing import Any, Protocol
 
 import aiohttp
 from aiohttp import web
@@ -43,6 +43,17 @@
     retry_after: float
 
 
+class HallBackend(Protocol):
+    """A backend of a hall."""
+
+    address: str
+    ran: dict[str, int]  # how often it ran each try, by X-Attempt-Id
+
+    async def start(self) -> None: ...
+
+    async def stop(self) -> None: ...
+
+
 class Backend:
     """Works on requests for a drawn time, seals its answers, and calls the system every so often."""
 
@@ -101,16 +112,22 @@
 
     def __init__(self, folder: Path, size: int = 5, backends: int = 6, seed: int = 1,
                  tenants: Mapping[str, tuple[float, float]] | None = None,
-                 work: tuple[float, float] = (0.02, 0.06)) -> None:
+                 work: tuple[float, float] = (0.02, 0.06),
+                 make_backend: Callable[[Hall, int], HallBackend] | None = None, grace: float = 3.0,
+                 environ: Mapping[str, str] | None = None) -> None:
         """`folder`: for settings and disks. `tenants`: rate and burst by name, whose key is the name.
 
-        `work`: seconds that a backend takes, from and to.
+        `work`: seconds that a backend takes, from and to. `make_backend`: another kind of backend, by number.
+        `environ`: more variables for the gateways' processes.
+        `grace`: seconds from SIGTERM to the platform's SIGKILL, as gateways are told.
         """
+        self.grace, self.environ = grace, dict(environ or {})
         self.folder, self.size, self.work = folder, size, work
         self.tenants = dict(tenants or {"t": (50.0, 50.0)})
         self.chance = random.Random(seed)
         self.ports = free_ports(4)
-        self.backends = [Backend(self, number) for number in range(backends)]
+        make = make_backend or Backend
+        self.backends = [make(self, number) for number in range(backends)]
         self.gateways = [self.member(number) for number in range(size)]
         self.tries = 0
 
@@ -118,7 +135,7 @@
         return f"127.0.0.{number + 1}"
 
     def member(self, number: int) -> Member:
-        environ = {**os.environ, "EMBERSILL_CONFIG": str(self.settings(number, first=True))}
+        environ = {**os.environ, **self.environ, "EMBERSILL_CONFIG": str(self.settings(number, first=True))}
         return Member(f"g{number}", "gateway", [sys.executable, "-m", "embersill.edge"], environ)
 
     def settings(self, number: int, first: bool) -> Path:
@@ -134,7 +151,7 @@
             "seed_nodes": [f"{self.ip(n)}:{control}" for n in range(min(CORE, self.size))],
             "limits": {"memory_mb": 300, "file_descriptors": 1000, "disk_mb": 64},
             "fault_tolerance": {"machine_failures": 1},
-            "bounds": {"grace_period_s": 3.0, "quota_overshoot": 0.1, "quota_slack": 20,
+            "bounds": {"grace_period_s": self.grace, "quota_overshoot": 0.1, "quota_slack": 20,
                        "retry_budget_ratio": 0.2, "retry_budget_slack": 68}}
         if core:
             local["data_directory"] = str(self.folder / f"g{number}")
--- /dev/null
+++ b/embersill/rig/soak/lives.py
@@ -0,0 +1,83 @@
+"""Lives of the gateways of a soak: signals that overlap, and a platform that starts what has ended."""
+
+from __future__ import annotations
+
+import asyncio
+import shutil
+import signal
+from collections.abc import Callable
+
+from embersill.rig.hall import Hall
+from embersill.rig.processes import resident_kb
+from embersill.rig.soak.record import Exit
+
+START_AGAIN = 0.2  # seconds from a process's end to its next start
+READY_WITHIN = 20.0  # seconds for one that has started
+LOOK_EVERY = 0.05  # seconds
+STARTING = 3.0  # seconds that a process may take until it handles signals
+
+
+class Life:
+    """One gateway: whatever ends its process, it is started again."""
+
+    def __init__(self, hall: Hall, number: int, exits: list[Exit], clock: Callable[[], float]) -> None:
+        self.hall, self.number, self.exits, self.clock = hall, number, exits, clock
+        self.member = hall.gateways[number]
+        self.started_at = -STARTING
+        self.told_to_end = self.wipes = self.overdue = self.closing = False
+        self.watching = asyncio.create_task(self.watch())
+
+    async def watch(self) -> None:
+        """Waits for the end of each process, notes it, and starts the next."""
+        while not self.closing:
+            code = await self.member.ended()
+            if self.closing:
+                return
+            wanted = self.told_to_end and code in self.codes_of_an_end()
+            self.exits.append(Exit(self.number, self.clock(), code, wanted, self.overdue))
+            if self.wipes:
+                shutil.rmtree(self.hall.folder / f"g{self.number}", ignore_errors=True)
+            self.told_to_end = self.wipes = self.overdue = False
+            await asyncio.sleep(START_AGAIN)
+            self.started_at = self.clock()
+            await self.member.start()
+
+    def codes_of_an_end(self) -> tuple[int, ...]:
+        """Exit codes of a process that was told to end; before it has set up, SIGTERM itself ends it."""
+        starting = self.clock() - self.started_at < STARTING
+        return (0, -signal.SIGKILL, -signal.SIGTERM) if starting else (0, -signal.SIGKILL)
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal to the process there is."""
+        if number in (signal.SIGTERM, signal.SIGKILL):
+            self.told_to_end = True
+        self.member.send(number)
+
+    def kill(self, wipes: bool = False) -> None:
+        """Ends the process at once; `wipes`: it comes back without its disk."""
+        self.wipes = self.wipes or wipes
+        self.signal(signal.SIGKILL)
+
+    async def terminate(self, grace: float) -> None:
+        """SIGTERM, and SIGKILL if the process is still there after the grace."""
+        ended, began = self.member.lives, self.clock()
+        self.signal(signal.SIGTERM)
+        while self.member.lives == ended and self.member.running:
+            if self.clock() - began > grace:
+                self.overdue = True
+                return self.kill()
+            await asyncio.sleep(LOOK_EVERY)
+        return None
+
+    async def until_ready(self, life: int) -> None:
+        """Waits until a life after this one is ready."""
+        end = self.clock() + READY_WITHIN
+        while self.clock() < end:
+            if self.member.lives > life and await self.hall.is_ready(self.number):
+                return
+            await asyncio.sleep(LOOK_EVERY)
+
+    def memory_kb(self) -> int:
+        """Memory that the process holds now."""
+        assert self.member.process is not None
+        return resident_kb(self.member.process.pid)
