A service whose work lasts longer than its aim is served at its slots

Cause: every answer is late there, and the limits on what may be out fell with each: of 8 at once 8, 5, 5, 5, 5, 2, 2, 1 were let on in eight rounds, with all backends idle. Change (whole gateway only): a late answer counts against the limits only if its backend has more to do than slots, and nothing is shed at once while one of ten backends that are drawn has a slot free. Also: poll's answer on a paused client is read by its bits. A test's stand-in for a connection tells that its client left by 'left' now, as connections do.

--- a/embersill/edge/dataplane/backend_choice.py
+++ b/embersill/edge/dataplane/backend_choice.py
@@ -66,6 +66,27 @@
             held += self.far
         return usual * slow + held * job.klass.aim
 
+    def pressed(self, job: Job) -> bool:
+        """True if a request is to be turned away at once: not while a backend has a slot free.
+
+        Where work takes longer than its aim all answers are late, and the limits fall however idle the
+        backends are.
+        """
+        return super().pressed(job) and not self.has_free_slot()
+
+    def has_free_slot(self) -> bool:
+        """True if one of a few backends that are drawn works on fewer requests than it has slots."""
+        drawn = self.turn.random.sample(self.order, min(2 * DRAWN, len(self.order)))
+        return any(server.work(self.turn.now) < server.backend.slots for server in drawn)
+
+    def judge(self, late: bool, server: Server) -> None:
+        """Takes an answer, late or not, for the limits on what may be out.
+
+        A late one from a backend that has a slot free tells of long work there, not of too much of it: with
+        less sent on it would take as long.
+        """
+        super().judge(late and server.work(self.turn.now) > max(server.backend.slots, 1), server)
+
     def resettle(self) -> None:
         """The settings have changed: a smaller part of further attempts holds at once."""
         if self.budgeted:
--- a/embersill/net/clients.py
+++ b/embersill/net/clients.py
@@ -33,6 +33,7 @@
 SWEEP_EVERY = 0.25  # seconds between looks for those whose time is up
 MOST_ERRORS = 4  # requests out of form on one connection, after which it is closed
 ERROR_PAUSE = 0.1  # seconds after one in which no more is read: each costs as much work as a request
+CLOSED = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # what poll tells of a connection that has ended
 LINGER = 1.0  # seconds for a peer to read an error answer before its connection goes
 MAKE_WAY = 16  # connections at most that make way at one look: the look costs more than they do
 BACKLOG = 1024
@@ -380,7 +381,7 @@
         """True if the client has closed a connection that is not being read."""
         poll = select.poll()
         poll.register(self.descriptor, select.POLLRDHUP)
-        return bool(poll.poll(0))
+        return any(found & CLOSED for _, found in poll.poll(0))
 
     def ends_with(self, exchange: Exchange) -> bool:
         """While the gateway stops: True for the last that was taken here, which is to say so in its answer.
--- a/tests/edge/test_parts.py
+++ b/tests/edge/test_parts.py
@@ -346,6 +346,33 @@
     assert sent.get("b0", 0) < 40 and sent["b2"] > sent.get("b1", 0)  # and its own zone goes first
 
 
+def played_long(work: float, slots: int = 2, extra: int = 0) -> list[int]:
+    """Requests let on in each of eight rounds: as many as there are slots, worked on past their aim."""
+    made, now, number, let_on = edge(rate=0.0), 100.0, 0, []
+    for _ in range(8):
+        sent: list[tuple[int, str]] = []
+        for _ in range(4 * slots + extra):
+            number += 1
+            asked = Request(number, "r0", "", "", now + 10.0, 1.0, 0, -1, False, "s")
+            sent += [(number, one.backend) for one in of(made.handle(asked, now), Send)]
+        let_on.append(len(sent))
+        made.handle(TimerDue("or0"), now + 0.9 * work)  # their aim is over
+        now += work
+        for done, where in sent:
+            load = (float(made.servers[where].flight), 0.0, float(slots))
+            made.handle(AttemptEnded(done, 0, where, Outcome.SERVED, work, True, 0.0, load), now)
+    return let_on
+
+
+def test_work_that_takes_longer_than_its_aim_is_let_on_as_long_as_there_are_slots() -> None:
+    """It was let on ever less, to nought, while all backends were idle."""
+    assert min(played_long(1.8)) >= 7
+
+
+def test_more_than_the_slots_can_serve_in_time_is_still_turned_away_at_once() -> None:
+    assert played_long(1.8, extra=16)[-1] <= 16
+
+
 def test_a_new_configuration_holds_for_throttles_that_are_there() -> None:
     made = edge(rate=40.0)
     made.handle(ask(1), 100.0)
@@ -398,7 +425,7 @@
     def __init__(self, path: bytes, left: bytes = b"2000") -> None:
         self.target, self.body, self.body_size, self.received = path, [b"text"], 4, 10.0
         self.headers = {b"host": b"a.example", b"x-key": b"k", b"x-deadline-remaining-ms": left}
-        self.connection, self.transport, self.number = self, object(), 0
+        self.connection, self.left, self.number = self, False, 0
         self.answers: list[tuple[int, bytes]] = []
 
     def answer(self, status: int, body: bytes, headers: bytes = b"") -> None:
@@ -414,7 +441,7 @@
     known.target, known.headers = b"/other", {}  # the connection reads its next request
     desk.give_up(10.2)
     assert hasty.answers == [(503, SOON)] and not known.answers  # a tenth of a second is all it may wait
-    gone.transport = None
+    gone.left = True
     desk.begin(Table(document(1)))  # type: ignore[arg-type]
     assert unknown.answers[0][0] == 404 and known.number == 1 and not known.answers and not gone.answers
     assert [call.head.split(b" ")[1] for call in driven.taken] == [b"/p0/1"]
