Soak: held ports, full disks, backends that leave; a start waits for an address that is still held

Change: it tries again for 5 s, then says so in one line and exits with 2. The soak draws held ports, disks that take no bytes and backends that drain, and judges sends to a backend that has left.

--- a/embersill/edge/__main__.py
+++ b/embersill/edge/__main__.py
@@ -19,7 +19,11 @@
     if ready.is_error():
         logging.getLogger("embersill.edge").error("can't start: %s", ready.error)
         return 2
-    await run_until_told(System(*ready.ok))
+    try:
+        await run_until_told(System(*ready.ok))
+    except OSError as error:
+        logging.getLogger("embersill.edge").error("can't run: %s", error)
+        return 2
     return 0
 
 
--- a/embersill/edge/program.py
+++ b/embersill/edge/program.py
@@ -10,6 +10,7 @@
 import time
 import zlib
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -23,6 +24,7 @@
 from embersill.edge.dataplane.in_flight import InFlight
 from embersill.edge.discovery.instances import GONE, Instance
 from embersill.edge.peers.links import Links
+from embersill.edge.listening import when_free
 from embersill.edge.local import Local, bound, read_local
 from embersill.edge.consensus.membership import Requirements
 from embersill.edge.node import Node
@@ -50,6 +52,7 @@
 CONTROL_ROOM = 16 << 20
 STOP_AT_LATEST = 0.7  # seconds before the platform's own end
 SEEN_LEAVING = 2.3  # seconds after SIGTERM in which clients may still be sent here
+LISTEN_WITHIN = 5.0  # seconds for an address that the process before this one still holds
 SHORT = 0.05
 BEHIND_BY = 0.1  # seconds that a tick comes late, from which clients may have left before they are read
 BEHIND_FOR = 0.5  # seconds after such a tick in which that is looked for
@@ -260,7 +263,7 @@
         """Listens, links, and begins to serve."""
         if self.store is not None:
             self.store.start(self.saved)
-        await self.links.start()
+        await when_free(self.links.start, LISTEN_WITHIN)
         listen = self.local["listen_addresses"]
         for front, text in (
             (self.front, listen.get("front_http")),
@@ -268,7 +271,7 @@
             (self.control, listen.get("control_plane")),
         ):
             if text:
-                front.listen(read_address(text))
+                await when_free(partial(front.listen, read_address(text)), LISTEN_WITHIN)
         self.node.begin()
         self.tick()
         log.info("started node=%s zone=%s core=%s", self.node.me.name, self.local["zone"], self.node.me.core)
--- a/embersill/rig/hall.py
+++ b/embersill/rig/hall.py
@@ -94,14 +94,17 @@
         gateway = self.hall.chance.randrange(self.hall.size)
         while True:
             self.calls += 1
-            told = {"service": "s", "address": self.address, "zone": self.zone, "version": "v1",
-                    "capacity_slots": SLOTS, "state": "ready", "warmup_remaining_s": 0,
-                    "call_sequence": self.calls}
-            status, _ = await self.hall.control(gateway, "PUT", f"/api/instances/{self.name}", told)
+            status, _ = await self.hall.control(
+                gateway, "PUT", f"/api/instances/{self.name}", self.told("ready"))
             if status != 200:
                 gateway = self.hall.chance.randrange(self.hall.size)
             await asyncio.sleep(BEAT if status == 200 else 0.1)
 
+    def told(self, state: str) -> dict[str, Any]:
+        """What it says of itself; `state`: ready or draining."""
+        return {"service": "s", "address": self.address, "zone": self.zone, "version": "v1",
+                "capacity_slots": SLOTS, "state": state, "warmup_remaining_s": 0, "call_sequence": self.calls}
+
     async def stop(self) -> None:
         self.beating.cancel()
         await self.runner.cleanup()
--- a/embersill/rig/soak/backends.py
+++ b/embersill/rig/soak/backends.py
@@ -7,11 +7,13 @@
 from collections.abc import Callable
 
 from embersill.rig.hall import SLOTS, Backend, Hall
-from embersill.rig.soak.record import Run, RunEnd
+from embersill.rig.soak.record import Drain, Run, RunEnd
 from embersill.rig.soak.schedule import BackendKind
 
 HEAD_END = b"\r\n\r\n"
 DECLINE_EVERY, BREAK_EVERY, SILENT_EVERY = 3, 10, 10  # requests
+DRAIN_TRIES, DRAIN_PAUSE = 20, 0.2  # calls of a backend that leaves, and seconds between them
+SERVES_ON = 3.5  # seconds from the acknowledgement until a backend that leaves ends
 SLOWER = 2.0  # times as long
 FLAP_EVERY, FLAP_FOR = 6.0, 3.0  # seconds
 
@@ -24,7 +26,7 @@
     ) -> None:
         super().__init__(hall, number)
         self.kind, self.runs, self.clock = kind, runs, clock
-        self.served = 0
+        self.served, self.lives, self.first_name = 0, 1, self.name
         self.late: dict[asyncio.StreamWriter, str] = {}  # whose answer comes once more, by connection
         self.tasks: set[asyncio.Task[None]] = set()
 
@@ -43,6 +45,31 @@
             await asyncio.sleep(FLAP_FOR)
             self.beating = asyncio.create_task(self.beat())
 
+    async def drain(self, drains: list[Drain]) -> None:
+        """Says that it leaves, serves on, leaves, and begins another life at another address."""
+        self.beating.cancel()
+        self.flapping.cancel()
+        drain = Drain(self.name, 0.0)
+        drains.append(drain)
+        gateway = self.hall.chance.randrange(self.hall.size)
+        for number in range(DRAIN_TRIES):
+            if await self.say((gateway + number) % self.hall.size, "draining"):
+                drain.acknowledged_at = self.clock()
+                break
+            await asyncio.sleep(DRAIN_PAUSE)
+        await asyncio.sleep(SERVES_ON)
+        await self.hall.control(gateway, "DELETE", f"/api/instances/{self.name}")
+        await self.stop()
+        self.lives += 1
+        self.name, self.calls = f"{self.first_name}.{self.lives}", 0
+        await self.start()
+
+    async def say(self, gateway: int, state: str) -> bool:
+        """Tells one gateway of itself; True if that was acknowledged."""
+        self.calls += 1
+        status, _ = await self.hall.control(gateway, "PUT", f"/api/instances/{self.name}", self.told(state))
+        return status == 200
+
     async def stop(self) -> None:
         """Ends at once."""
         self.beating.cancel()
--- a/embersill/rig/soak/judge.py
+++ b/embersill/rig/soak/judge.py
@@ -18,6 +18,7 @@
 SENT_AFTER = 1.0  # seconds after a client has left from which no request of its may reach a backend
 NOTICED_WITHIN = LONG_WORK - 1.0  # seconds of work that a leave must be noticed in
 AROUND = 1.0  # seconds after a trouble that stops a gateway in which nothing is held against it
+DRAIN_DEADLINE = 3.0  # seconds from the acknowledgement of a backend that leaves: the bound and a margin
 GRACE = 6.0  # seconds from SIGTERM to the end, as gateways are told
 GRACE_USED = 4.8  # seconds of it in which work comes to its end
 DRAIN_SENDS = 2.2  # seconds after SIGTERM in which requests are taken
@@ -36,6 +37,7 @@
     REFUSED_AFTER_RUN = "refused_after_run"
     FOREIGN_ANSWER = "foreign_answer"  # an answer of another request's, or a second one
     LOST = "lost"  # a request that was at work ended without an answer around planned work
+    DRAIN = "drain"  # a request reached a backend long after it had said that it leaves
     QUOTA = "quota"
     CONFIGURATION = "configuration"
     LEAKED = "leaked"
@@ -55,7 +57,7 @@
 def judge(record: Record) -> list[Finding]:
     """All findings of a run, by time."""
     parts: tuple[Callable[[Record], Iterable[Finding]], ...] = (
-        runs_after_leave, runs_twice, answers, lost, quotas, configuration, leaks, exits,
+        runs_after_leave, runs_twice, answers, lost, drains, quotas, configuration, leaks, exits,
     )  # fmt: skip
     return sorted((found for part in parts for found in part(record)), key=lambda found: found.at)
 
@@ -162,6 +164,18 @@
     return False
 
 
+def drains(record: Record) -> Iterable[Finding]:
+    """No request reaches a backend some time after the acknowledgement that it leaves."""
+    tries = {one.attempt: one for one in record.tries}
+    left = {drain.backend: drain.acknowledged_at for drain in record.drains if drain.acknowledged_at}
+    for run in record.runs:
+        since, one = left.get(run.backend), tries.get(run.attempt)
+        if since is None or one is None or run.arrived <= since + DRAIN_DEADLINE:
+            continue
+        if not stopped(record, one.gateway, since - AROUND, run.arrived):
+            yield found(Rule.DRAIN, run.arrived, one, f"{run.backend} has left since {since:.2f}")
+
+
 def quotas(record: Record) -> Iterable[Finding]:
     """In each window a tenant runs no more than its quota allows."""
     for tenant, (rate, burst) in record.quotas.items():
--- a/embersill/rig/soak/lives.py
+++ b/embersill/rig/soak/lives.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import resource
 import shutil
 import signal
+import socket
 from collections.abc import Callable
 
 from embersill.rig.hall import Hall
@@ -58,6 +61,28 @@
         self.wipes = self.wipes or wipes
         self.signal(signal.SIGKILL)
 
+    async def hold_port(self, seconds: float) -> None:
+        """Ends the process, and listens at its port for so long: it can't start again until that is over."""
+        self.kill()  # a start meanwhile waits for the address
+        address = self.hall.ip(self.number), self.hall.ports[0]
+        with socket.socket() as held:
+            held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            while not bound(held, address):
+                await asyncio.sleep(LOOK_EVERY / 5)
+            held.listen()
+            await asyncio.sleep(seconds)
+
+    async def fill_disk(self, seconds: float) -> None:
+        """The process can't write to any file for so long."""
+        process = self.member.process
+        if process is None or not self.member.running:
+            return
+        before = resource.prlimit(process.pid, resource.RLIMIT_FSIZE)
+        resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (0, before[1]))
+        await asyncio.sleep(seconds)
+        with contextlib.suppress(ProcessLookupError):
+            resource.prlimit(process.pid, resource.RLIMIT_FSIZE, before)
+
     async def terminate(self, grace: float) -> None:
         """SIGTERM, and SIGKILL if the process is still there after the grace."""
         ended, began = self.member.lives, self.clock()
@@ -81,3 +106,12 @@
         """Memory that the process holds now."""
         assert self.member.process is not None
         return resident_kb(self.member.process.pid)
+
+
+def bound(sock: socket.socket, address: tuple[str, int]) -> bool:
+    """True if the socket has the address now; False while another has it."""
+    try:
+        sock.bind(address)
+    except OSError:
+        return False
+    return True
--- a/embersill/rig/soak/play.py
+++ b/embersill/rig/soak/play.py
@@ -51,9 +51,13 @@
         """`folder`: for settings and disks. `environ`: more variables for the gateways' processes."""
         self.schedule, self.record, self.began = schedule, Record(quotas=dict(TENANTS)), 0.0
         kinds = schedule.backends
+        self.backends: list[SoakBackend] = []
+        self.releasing = asyncio.Lock()
 
         def backend(hall: Hall, number: int) -> SoakBackend:
-            return SoakBackend(hall, number, kinds[number], self.record.runs, self.clock)
+            made = SoakBackend(hall, number, kinds[number], self.record.runs, self.clock)
+            self.backends.append(made)
+            return made
 
         self.hall = SoakHall(
             folder,
@@ -80,6 +84,9 @@
             TroubleKind.ZONE: self.zone,
             TroubleKind.CORE_ROLL: self.core_roll,
             TroubleKind.WIPE: self.wipe,
+            TroubleKind.PORT_HELD: self.port_held,
+            TroubleKind.DISK_FULL: self.disk_full,
+            TroubleKind.RELEASE: self.release,
             TroubleKind.CHANGE: self.change,
             TroubleKind.RACE: self.race,
             TroubleKind.INVALID: self.invalid,
@@ -207,6 +214,22 @@
         life.kill(wipes=trouble.gateway < CORE)
         await life.until_ready(before)
 
+    async def port_held(self, life: Life, trouble: Trouble) -> None:
+        """The process ends, and somebody else listens at its port for a while."""
+        before = life.member.lives
+        await life.hold_port(trouble.seconds)
+        await life.until_ready(before)
+
+    async def disk_full(self, life: Life, trouble: Trouble) -> None:
+        """The disk of a gateway takes no more bytes."""
+        await life.fill_disk(trouble.seconds)
+
+    async def release(self, life: Life, trouble: Trouble) -> None:
+        """A backend drains and ends, and another one comes in its place."""
+        async with self.releasing:
+            chosen = self.backends[len(self.record.drains) % len(self.backends)]
+            await chosen.drain(self.record.drains)
+
     async def change(self, life: Life, trouble: Trouble) -> None:
         """The operator changes the configuration."""
         await self.operator.change(trouble.gateway)
--- a/embersill/rig/soak/record.py
+++ b/embersill/rig/soak/record.py
@@ -99,6 +99,13 @@
     overdue: bool = False  # SIGTERM had not ended it within the grace
 
 
+class Drain(msgspec.Struct):
+    """A backend that said that it leaves."""
+
+    backend: str
+    acknowledged_at: float  # 0 without an acknowledgement
+
+
 class Calm(msgspec.Struct):
     """One gateway after the run, with nothing under way."""
 
@@ -117,6 +124,7 @@
     struck: list[Struck] = msgspec.field(default_factory=list)
     changes: list[Change] = msgspec.field(default_factory=list)
     exits: list[Exit] = msgspec.field(default_factory=list)
+    drains: list[Drain] = msgspec.field(default_factory=list)
     calm: list[Calm] = msgspec.field(default_factory=list)
     stalls: list[tuple[float, float]] = msgspec.field(default_factory=list)  # the soak itself stood still
     processes_most: int = 0
--- a/embersill/rig/soak/schedule.py
+++ b/embersill/rig/soak/schedule.py
@@ -75,6 +75,9 @@
     ZONE = "zone"  # all of a zone are killed at once
     CORE_ROLL = "core_roll"  # the core ends one by one, with a change between
     WIPE = "wipe"  # one of the core is killed and comes back without its disk
+    PORT_HELD = "port_held"  # killed, and started again while somebody else listens at its port
+    DISK_FULL = "disk_full"  # its disk takes no more bytes for some seconds
+    RELEASE = "release"  # a backend drains and ends, and another one comes in its place
     CHANGE = "change"  # a change of the configuration
     RACE = "race"  # two changes on the same version
     INVALID = "invalid"  # a change that has to be refused
@@ -82,7 +85,8 @@
 
 PLANNED = frozenset(
     (TroubleKind.HUP, TroubleKind.HUP_SERIES, TroubleKind.TERM, TroubleKind.CHANGE, TroubleKind.RACE,
-     TroubleKind.INVALID, TroubleKind.TERM_IN_CHANGE, TroubleKind.CORE_ROLL)
+     TroubleKind.INVALID, TroubleKind.TERM_IN_CHANGE, TroubleKind.CORE_ROLL,
+     TroubleKind.RELEASE, TroubleKind.DISK_FULL)
 )  # fmt: skip
 
 
