--- a/embersill/lab/edge/soak_command.py
+++ b/embersill/lab/edge/soak_command.py
@@ -5,6 +5,7 @@
 import argparse
 import asyncio
 import json
+import signal
 import tempfile
 from collections import Counter
 from pathlib import Path
@@ -139,6 +140,7 @@
 
 def main(options: argparse.Namespace) -> int:
     """Plays what was asked for; 1 if a run broke a rule."""
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # its processes end with it, as on control-C
     with tempfile.TemporaryDirectory(prefix="soak-fence-") as copy:
         environ = cut_copy(options.fence, Path(copy)) if options.fence else {}
         if options.replay:
