--- a/tests/ratelimit/test_service.py
+++ b/tests/ratelimit/test_service.py
@@ -354,6 +354,13 @@
         deployment.close()
 
 
+async def until_led(deployment: Deployment, planners: int) -> None:
+    """Waits until a forwarder follows its planner in all parts; till then it decides alone, and asks nobody."""
+    async with asyncio.timeout(SOON):
+        while planners and set(deployment.members["g0"].status.get("holders", {""})) != {"p0"}:
+            await asyncio.sleep(0.01)
+
+
 def answer_text(port: int) -> str:
     return (f'[ratelimit.answer]\nlisten = "{HOST}:{port}"\n[[ratelimit.answer.rules]]\ndomain = "lookup"\n'
             'match = {}\ncustomer = "account"\nplan_from = "plan"\nspread = 1\n')
@@ -391,6 +398,7 @@
             text = (f'[ratelimit.ask]\nservices = ["{limiter.address}"]\ndomain = "lookup"\nplans = ["pro"]\n'
                     'timeout = 1.0\nwithin = 1.0\nwithin_part = 0.5\n')
             async with deployed(text, planners) as deployment:
+                await until_led(deployment, planners)
                 await deployment.traffic.run(1.0)
                 await deployment.traffic.drained(SOON)
                 told = deployment.books.figures()
