--- a/tests/ratelimit/test_service.py
+++ b/tests/ratelimit/test_service.py
@@ -355,7 +355,7 @@
 
 
 async def until_led(deployment: Deployment, planners: int) -> None:
-    """Waits until a forwarder follows its planner in all parts; till then it decides alone, and asks nobody."""
+    """Waits until a forwarder follows its planner in all parts: before that it asks nobody."""
     async with asyncio.timeout(SOON):
         while planners and set(deployment.members["g0"].status.get("holders", {""})) != {"p0"}:
             await asyncio.sleep(0.01)
