--- a/embersill/edge/configuration/routes.py
+++ b/embersill/edge/configuration/routes.py
@@ -140,7 +140,7 @@
         counter=True,
         counter_patience=READ_AFTER,
         counter_price=0.0,
-        may_cancel=False,
+        may_cancel=True,
         may_probe=False,
         second_copies=False,
         max_attempts=1,
--- a/embersill/edge/dataplane/attempts.py
+++ b/embersill/edge/dataplane/attempts.py
@@ -10,7 +10,7 @@
 from embersill.edge.dataplane.lingering import LingeringAttempts
 from embersill.edge.rollout.watch import Watch
 from embersill.edge.throttling.figures import Figures
-from embersill.interface import AttemptEnded, Cancel, ClientLeft, Outcome, Repeats, SetTimer
+from embersill.interface import AttemptEnded, ClientLeft, Outcome, Repeats, SetTimer
 from embersill.throttle import PERIOD
 from embersill.totals import Totals
 from embersill.turn import Turn
@@ -88,11 +88,8 @@
         One that must not be repeated may have begun to take effect, and its client may ask what came of it:
         it runs to its end.
         """
-        if job.klass.repeats is not Repeats.SAFE:
-            return
-        for number, attempt in enumerate(job.attempts):
-            if attempt.out:
-                self.turn.actions.append(Cancel(job.request.id, number))
+        if job.klass.repeats is Repeats.SAFE:
+            super().call_off(job)
 
     def give_back(self, job: Job) -> None:
         """A request that none of its backends ran has used nothing of its quota. Called once a request."""
--- a/embersill/edge/dataplane/lingering.py
+++ b/embersill/edge/dataplane/lingering.py
@@ -13,6 +13,7 @@
 
 from embersill.work import Server
 
+TIMER = "w"  # begins the keys of the timers
 MOST = 10_000  # attempts that are kept in mind; past it the oldest counts no more
 
 
@@ -57,6 +58,3 @@
         known = server.flight - len(there) + max(server.others, 0)
         for _ in range(len(there) - int(max(work - known, 0))):
             self.end(there[0])
-
-
-TIMER = "w"  # begins the keys of the timers
--- a/embersill/rig/soak/schedule.py
+++ b/embersill/rig/soak/schedule.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Collection
 from enum import Enum
 
 import msgspec
@@ -126,6 +127,10 @@
     actions: tuple[Action, ...]
     troubles: tuple[Trouble, ...]
 
+    def with_clients(self, clients: Collection[int]) -> Schedule:
+        """The same with the actions of these clients alone."""
+        return msgspec.structs.replace(self, actions=tuple(a for a in self.actions if a.client in clients))
+
 
 def generate(seed: int, seconds: float, gateways: int = 5, clients: int = 40) -> Schedule:
     """Draws a run. The same arguments give the same one."""
