--- /dev/null
+++ b/review/2/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Exit status: 1 the rule was broken, 0 it held, 2 the case could not run. TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")" && exec timeout -k 5 115 python3 case.py
