--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,68 +1,75 @@
-"""A change of the configuration with a very high quota is acknowledged, but no gateway puts it in force."""
+"""A backend runs a long request, its answer is lost by a reset: the request is run a second time elsewhere."""
 
 from __future__ import annotations
 
 import asyncio
 import sys
+import time
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
 
-from standins import BOUNDS, Backend, CannotRun, Deployment, Record, Request, play  # noqa: E402
+from standins import Backend, Deployment, Record, Request, play  # noqa: E402
 
-HIGH, USUAL = 10**20, 800  # the tenant's new burst_size, with and without the disruption
-MARGIN_S = 0.5
-AGAIN_S = 0.3
-LATER = 20  # requests sent to each gateway later than the bound
+LONG_BYTES = 8 << 20  # within `max_body_bytes`, 67108864
+SHARE, LOST_SHARE, FOR_S = 0.5, 0.05, 4.0  # the site file's dose of answer_lost with how = "reset"
+WORK_S, LONG_WORK_S = 0.06, 0.16
+SHORT_EVERY_S, LONG_EVERY_S = 0.015, 0.5
 
 
 async def case(record: Record, trouble: bool) -> str:
-    """Changes a quota and adds a route; asks for that route later than `config_apply_s` after the answer."""
+    """Plays 1 s of calm, FOR_S of trouble and 1 s of calm; returns which requests were run twice."""
     deployment = Deployment()
     deployment.record = record
+    counts: dict[str, list[int]] = {}  # by lossy backend: runs in the trouble, answers lost
+    until = [0.0]
 
     async def work(request: Request) -> None:
-        await asyncio.sleep(0.05)
+        long = request.length > 1 << 20
+        await asyncio.sleep(LONG_WORK_S if long else WORK_S)
+        mine = counts.get(request.backend.name)
+        if trouble and mine is not None and time.monotonic() < until[0]:
+            mine[0] += 1
+            if long and mine[1] + 1 <= LOST_SHARE * mine[0]:
+                mine[1] += 1
+                record.note(f"backend {request.backend.name} has run {request.attempt}, resets: its answer is lost")
+                return request.reset()
         request.answer()
 
     deployment.backends = [Backend(deployment, number, work) for number in range(6)]
+    for backend in deployment.backends:
+        backend.stream = lambda request: request.length > 1 << 20  # such a body is read on after the answer
     async with deployment:
-        change = deployment.configuration(2, 1)
-        change["tenants"]["kommune"] = {**change["tenants"]["kommune"], "burst_size": HIGH if trouble else USUAL}
-        change["routes"]["ny"] = {**change["routes"]["opslag"], "path_prefix": "/ny/"}
-        for number in range(12):  # a call with no clear answer is sent again as it was, to any gateway
-            status, _ = await deployment.order("PUT", change, deployment.gateways[number % 5])
-            if status == 200:
-                break
-            if 400 <= status < 500 and status != 408:
-                return ""  # refused as invalid: it must not be in force then, and the old one serves on
-            await asyncio.sleep(AGAIN_S)
-        else:
-            raise CannotRun("the change was neither acknowledged nor refused")
-        await asyncio.sleep(BOUNDS["config_apply_s"] + MARGIN_S)
-        record.note(f"{BOUNDS['config_apply_s'] + MARGIN_S} s have passed since the acknowledgement")
-        refused = 0
-        for gateway in deployment.gateways:
-            answers = [await deployment.request(gateway, "GET", "/ny/x", note=not n) for n in range(LATER)]
-            wrong = sum(answer.status in (401, 403, 404) for answer in answers)
-            record.note(f"{gateway.name} refuses {wrong} of {LATER} requests on the new route")
-            refused += wrong
-        await deployment.order("GET", None, deployment.gateways[1])
-        # what follows shows how far the fault goes, and is not part of the check
-        following = {**change, "version": "00000003", "based_on_version": "00000002"}
-        following["tenants"] = {"kommune": {**change["tenants"]["kommune"], "burst_size": USUAL}}
-        for number in range(5):
-            status, _ = await deployment.order("PUT", following, deployment.gateways[number])
-            if status == 200:
-                break
-            await asyncio.sleep(AGAIN_S)
-        for gateway in deployment.gateways:
-            for line in gateway.output().splitlines():
-                if "Error" in line:
-                    record.note(f"{gateway.name} wrote: {line[:150]}")
-                    break
-    return f"CONFIG: {refused} requests got a 404 though the acknowledged version has their route" if refused else ""
+        tasks: list[asyncio.Task[object]] = []
+        begin = time.monotonic()
+        until[0] = begin + 1.0 + FOR_S
+        lossy = deployment.backends[: int(len(deployment.backends) * SHARE)]
+        next_long = begin
+        number = 0
+        while time.monotonic() < until[0] + 1.0:
+            now = time.monotonic()
+            if now >= begin + 1.0 and not counts:
+                counts.update({backend.name: [0, 0] for backend in lossy})
+                record.note(f"answers may be lost at {', '.join(counts)} from now on: {'yes' if trouble else 'no'}")
+            gateway = deployment.gateways[number % len(deployment.gateways)]
+            number += 1
+            if now >= next_long:
+                next_long += LONG_EVERY_S
+                sent = deployment.request(gateway, "POST", "/aendring/bulk", bytes(LONG_BYTES))
+            else:
+                sent = deployment.request(gateway, "POST", "/aendring/one", b"{}", note=False)
+            tasks.append(asyncio.create_task(sent))
+            await asyncio.sleep(SHORT_EVERY_S)
+        answers = await asyncio.gather(*tasks)
+        statuses: dict[int, int] = {}
+        for answer in answers:
+            statuses[answer.status] = statuses.get(answer.status, 0) + 1
+        record.note(f"{len(answers)} requests, by status: {statuses}; runs and lost answers: {counts}")
+        twice = {attempt: at for attempt, at in deployment.runs.items() if len(at) > 1}
+        for attempt, at in twice.items():
+            record.note(f"{attempt} was run {len(at)} times, by {', '.join(at)}")
+    return f"TWICE: {len(twice)} requests that may not be repeated were run more than once" if twice else ""
 
 
 if __name__ == "__main__":
--- a/review/standins.py
+++ b/review/standins.py
@@ -426,6 +426,7 @@
         key: str = "k-kommune",
         note: bool = True,
         pace: tuple[int, float] | None = None,
+        headers: dict[str, str] | None = None,
     ) -> Answer:
         """One try of a client on a connection of its own; `address`: of a relay before the gateway.
 
@@ -435,9 +436,10 @@
         answer = Answer(f"t{self.attempts:05d}", time.monotonic())
         host, _, port = (address or gateway.front).rpartition(":")
         length = f"Content-Length: {len(body)}\r\n" if body or method == "POST" else ""
+        more = "".join(f"{name}: {value}\r\n" for name, value in (headers or {}).items())
         head = (
             f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {answer.attempt}\r\n"
-            f"X-Deadline-Remaining-Ms: {deadline_s * 1000:.0f}\r\nX-Key: {key}\r\n{length}\r\n"
+            f"X-Deadline-Remaining-Ms: {deadline_s * 1000:.0f}\r\nX-Key: {key}\r\n{more}{length}\r\n"
         )
         if note:
             self.record.note(f"client sends {answer.attempt} {method} {path} ({len(body)} bytes) to {gateway.name}")
