--- a/review/2/case.py
+++ b/review/2/case.py
@@ -33,7 +33,7 @@
             mine[0] += 1
             if long and mine[1] + 1 <= LOST_SHARE * mine[0]:
                 mine[1] += 1
-                record.note(f"backend {request.backend.name} has run {request.attempt}, resets: its answer is lost")
+                record.note(f"backend {request.backend.name} has run {request.attempt}; its answer is lost by a reset")
                 return request.reset()
         request.answer()
 
--- a/review/standins.py
+++ b/review/standins.py
@@ -510,6 +510,10 @@
     record.note(f"trouble={'yes' if trouble else 'no'}")
 
     async def limited() -> str:
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT):  # its processes are ended in any case
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         async with asyncio.timeout(within):
             return await case(record, trouble)
 
@@ -518,7 +522,7 @@
         broken = asyncio.run(limited())
         record.note(f"BROKEN: {broken}" if broken else "the rule held")
         status = 1 if broken else 0
-    except (CannotRun, TimeoutError, OSError) as error:
+    except (CannotRun, asyncio.CancelledError, TimeoutError, OSError) as error:
         record.note(f"could not run: {type(error).__name__}: {error}")
     record.write(folder)
     print(record.lines[-1])
