--- a/review/standins.py
+++ b/review/standins.py
@@ -300,6 +300,7 @@
         self.backends: list[Backend] = []
         self.runs: dict[str, list[str]] = {}  # backends that ran it, by attempt
         self.attempts = 0
+        self.timeout_s = 6.0  # of the routes
         self.tenants = {"kommune": {"api_keys": ["k-kommune"], "priority": 1, "rate_per_s": 400, "burst_size": 400}}
 
     async def __aenter__(self) -> Deployment:
@@ -352,7 +353,7 @@
 
     def configuration(self, version: int, based_on: int) -> dict[str, Any]:
         """A whole configuration with one idempotent and one non-idempotent route."""
-        shared = {"host": HOST, "timeout_s": 6, "target_latency_s": 0.6, "max_attempts": 2, "public_access": False}
+        shared = {"host": HOST, "timeout_s": self.timeout_s, "target_latency_s": 0.6, "max_attempts": 2, "public_access": False}
         routes = {
             "opslag": {**shared, "path_prefix": "/opslag/", "kind": "idempotent", "priority": 2,
                        "service": "adressekerne"},
