A restarted or new core member knows which gateways may still use a quota

Cause: what a member knew of silent gateways was in memory alone (PeerSet.silent), so that a member that had just started, one in another's place and one without its disk divided the whole quota among the gateways that they heard, while those that were cut off went on by their even part.

Change: members keep a directory of the gateways that may use a share, on their disks, and grant shares only once all members reserve them; a share is a lease that lapses 60 s after the gateway heard a majority, before members divide it anew; a member whose directory may lack gateways assigns nothing; shares add up to the whole also where gateways join while others are away. Gateways tell new members which slices they use as the members change. status and the log say who has which share.

The fences own-count, dealt-once, silent-slice and unheard name the lines that keep the same rules now.

--- a/embersill/edge/command.py
+++ b/embersill/edge/command.py
@@ -93,7 +93,7 @@
                 "remembers": bool(begun and kept and kept.epoch == begun.roster.epoch),
                 "version": write_version(state["version"]) if state is not None else None,
                 "backends": len(backends),
-                "gateways": stored.gateways,
+                "gateways": len(stored.directory.entries) if stored.directory else stored.gateways,
             }
         )
 
--- a/embersill/edge/dataplane/admission.py
+++ b/embersill/edge/dataplane/admission.py
@@ -12,8 +12,9 @@
 from embersill.edge.configuration.lapses import Slowed
 from embersill.interface import Borrow, BorrowResult, Plan, QuotaSlice
 from embersill.throttle import PERIOD, Throttle
-from embersill.totals import READING_LIFE
-from embersill.work import EPS, Job
+from embersill.totals import READING_LIFE, Totals
+from embersill.turn import Turn
+from embersill.work import EPS, AdmissionSink, Job
 
 SHORTAGE_S = 1.0  # how long a tenant counts as short of tokens after its reserve was empty
 RETRY_MIN_LEVEL_SHARE = 0.5  # of a short tenant's bucket that must be full before client retries get a token
@@ -22,6 +23,7 @@
 # of the usual wait bound, for a slowed tenant: with a long bound the wait depends on how many callers it has
 SLOWED_QUEUE_WAIT_SHARE = 0.1
 RESERVE_RETRY_S = 0.2  # how long after an empty reserve it is asked again
+NO_SHARE_WIDTH = 10**9  # divisor of a gateway without a share of its own: it uses only what it is assigned
 
 
 class EdgeAdmission(Admission):
@@ -30,6 +32,25 @@
     hold_share, strict = QUEUE_WAIT_SHARE, True
     slowed_tenants: Mapping[str, Slowed] = {}
 
+    def __init__(self, turn: Turn, totals: Totals, after: AdmissionSink) -> None:
+        super().__init__(turn, totals, after)
+        self.told_width: int | None = None  # as last set by `set_quota_width`
+
+    @property
+    def quota_width(self) -> int:
+        """By how many a quota is divided where no slice was assigned: the number of gateways, if not told."""
+        return self.turn.settings.gateways if self.told_width is None else self.told_width
+
+    @property
+    def has_share(self) -> bool:
+        """True if this gateway may use a part of each quota without asking."""
+        return self.quota_width < NO_SHARE_WIDTH
+
+    def set_quota_width(self, width: int) -> None:
+        """Sets by how many quotas are divided here; 0: this gateway has no share of its own."""
+        self.told_width = width or NO_SHARE_WIDTH
+        self.replan()
+
     def admit(self, job: Job) -> None:
         """Admits, queues or rejects a request; with an empty reserve, first tries go before retries.
 
@@ -55,7 +76,7 @@
 
         A full bucket of less than one token would otherwise admit one more request at each gateway.
         """
-        throttle = super().join(customer, width, plan, first)
+        throttle = super().join(customer, self.quota_width, plan, first)
         throttle.whole = throttle.width > 1
         return throttle
 
@@ -77,7 +98,7 @@
         throttle.refill(self.turn.now)
         throttle.level += max(event.units, 0.0)
         # without a reachable reserve the throttle uses its bucket, however small: else it would serve nothing
-        throttle.whole = event.units >= 0.0 and throttle.width > 1
+        throttle.whole = (event.units >= 0.0 or not self.has_share) and throttle.width > 1
         if event.units < 1.0:
             throttle.dry_until = self.turn.now + RESERVE_RETRY_S
         elif throttle.level < -EPS and throttle.queue:
@@ -100,9 +121,10 @@
             self.release(throttle)
 
     def replan(self) -> None:
-        """Applies changed quotas or a changed number of gateways; throttles keep their levels."""
+        """Applies changed quotas or another share of them; throttles keep their levels."""
         for throttle in self.throttles.values():
             plan = self.turn.plans.get(throttle.plan.name, throttle.plan)
-            if throttle.plan != plan or throttle.width != self.turn.settings.gateways:
-                throttle.change(plan, self.turn.settings.gateways, self.turn.now)
+            if throttle.plan != plan or throttle.width != self.quota_width:
+                throttle.change(plan, self.quota_width, self.turn.now)
+                throttle.whole = throttle.whole or not self.has_share
                 self.release(throttle)
--- a/embersill/edge/dataplane/gateway.py
+++ b/embersill/edge/dataplane/gateway.py
@@ -22,7 +22,15 @@
 from embersill.edge.dataplane.lingering import TIMER_KEY_PREFIX as LINGERING_KEY_PREFIX
 from embersill.edge.rollout.watch import ByKind, Watch
 from embersill.edge.throttling.slowdown_counts import SlowdownCounts
-from embersill.interface import BorrowResult, Configured, PeerLoad, QuotaSlice, Settings, TimerDue
+from embersill.interface import (
+    BorrowResult,
+    Configured,
+    PeerLoad,
+    QuotaSlice,
+    QuotaWidth,
+    Settings,
+    TimerDue,
+)
 
 
 class EdgeGateway(Gateway):
@@ -38,6 +46,7 @@
             Configured: self.configured,
             BorrowResult: self.admission.lent,
             QuotaSlice: self.admission.sliced,
+            QuotaWidth: self.divided,
             PeerLoad: self.others,
         }
 
@@ -83,6 +92,10 @@
             if server is not None:
                 server.others = count
 
+    def divided(self, event: QuotaWidth) -> None:
+        """Takes another share of all quotas."""
+        self.admission.set_quota_width(event.width)
+
     def configured(self, event: Configured) -> None:
         """Applies changed classes and plans; requests in progress keep their class."""
         self.turn.configure(event.settings)
--- a/embersill/edge/discovery/registry.py
+++ b/embersill/edge/discovery/registry.py
@@ -39,7 +39,7 @@
         self.on_view: Callable[[str], None] = lambda text: None  # log lines on news first known here
         self.on_news: Callable[[list[Instance]], None] = lambda news: None
         self.now = 0.0
-        self.save_at, self.changed, self.saving, self.counted = 0.0, False, False, 0
+        self.save_at, self.changed, self.saving = 0.0, False, False
         self.restored: dict[str, float] = {}  # by id: only known from disk, valid until
 
     def restore(self, saved: bytes, now: float) -> list[Instance]:
@@ -57,14 +57,12 @@
     def save(self, now: float) -> None:
         """Saves the list, so that a restart after a power loss need not wait for the backends' calls."""
         self.save_at, self.changed, self.saving = now + SAVE_INTERVAL_S, False, True
-        self.counted = self.peers.count
         known = [one for one in self.instances.known.values() if one.open]
 
         def then(good: bool) -> None:
             self.saving = False
 
         self.effects.saves.append(Save("backends", msgspec.msgpack.encode(known), then))
-        self.effects.saves.append(Save("gateways", b"%d" % self.peers.count, then))
 
     @property
     def in_core(self) -> bool:
@@ -157,7 +155,6 @@
         self.departures.tick(now)
         if self.in_core:
             self.judge(now)
-            self.changed = self.changed or self.peers.count > self.counted
             if self.changed and not self.saving and now >= self.save_at:
                 self.save(now)
         self.instances.forget(now)
--- a/embersill/edge/node.py
+++ b/embersill/edge/node.py
@@ -9,6 +9,7 @@
 
 import random
 from collections.abc import Callable, Iterable
+from functools import partial
 from typing import Any
 
 import msgspec
@@ -26,7 +27,9 @@
 from embersill.edge.consensus.membership import Shortfall
 from embersill.edge.configuration.policy import BUILT_IN_POLICY, Policy
 from embersill.edge.throttling.reports import Reports
+from embersill.edge.peers.directory import DIRECTORY_MESSAGE_KINDS, GatewayDirectory
 from embersill.edge.peers.peer_set import Hello, PeerSet
+from embersill.edge.peers.quota_share import QuotaShare
 from embersill.edge.configuration.lapses import lapses_of, slowed_tenants
 from embersill.edge.rollout.rollout_runner import RolloutRunner
 from embersill.edge.configuration.rollouts import in_force, label
@@ -78,7 +81,13 @@
             self.peers, self.agreement, self.effects, lambda: self.state, lambda: self.now
         )
         self.founding.up_to_date = lambda name: self.distribution.has_version(name, revision(self.state))
-        self.demand = Demand(hello, self.peers, self.agreement, self.effects, now)
+        self.directory = GatewayDirectory(hello.name, self.peers, self.effects)
+        self.quota_share = QuotaShare(hello.name, self.peers, self.effects, now)
+        self.quota_share.on_view = lambda text: self.on_view(text)
+        self.directory.on_own_width = partial(self.quota_share.note, hello.name)
+        self.demand = Demand(
+            hello, self.peers, self.agreement, self.directory, self.quota_share, self.effects, now
+        )
         self.state: State = EMPTY
         self.table: Table | None = None
         self.on_table: Callable[[Table], None] = lambda table: None
@@ -109,9 +118,15 @@
         self.agreement.load(stored)
         if self.agreement.roster is not None:
             self.peers.roster = self.agreement.roster
+            if self.agreement.member is not None:
+                self.directory.restore(
+                    stored.directory,
+                    stored.gateways,
+                    self.agreement.roster,
+                    self.has_disk_of(self.agreement.roster),
+                    now,
+                )
         self.backends = stored.backends
-        if stored.gateways:
-            self.peers.expect_count(stored.gateways, now)
 
     def begin(self) -> None:
         """Called once the driver is set up: backends stored on disk serve from the start.
@@ -137,7 +152,9 @@
         """This gateway's current hello message."""
         epoch = self.agreement.roster.epoch if self.agreement.roster is not None else 0
         version, orders = revision(self.state)
-        return msgspec.structs.replace(self.me, epoch=epoch, version=version, orders=orders)
+        return msgspec.structs.replace(
+            self.me, epoch=epoch, version=version, orders=orders, keeps_directory=True
+        )
 
     def linked(self, hello: Hello, now: float) -> None:
         """Handles a new link: sends the peer what it may lack."""
@@ -152,8 +169,7 @@
         self.registry.linked(hello.name)
         self.loads.linked(hello.name)
         self.on_view(f"link peer={hello.name} up zone={hello.zone} core={hello.core}")
-        if self.peers.announced_count >= 0:
-            mail.append((hello.name, {"kind": "present", "count": self.peers.announced_count}))
+        self.directory.linked(hello.name, self.now)
         self.demand.linked(hello)
         self.distribution.catch_up()
 
@@ -161,6 +177,7 @@
         """Handles the loss of a link to a peer."""
         self.now = max(self.now, now)
         self.peers.unlink(name, self.now)
+        self.directory.unlinked(name, self.peers.unlinked_since.get(name, self.now))
         self.distribution.unlinked(name)
         self.registry.unlinked(name)
         self.loads.unlinked(name)
@@ -190,7 +207,7 @@
             "version": self.distribution.heard,
             "fetch": lambda peer, told: self.distribution.send_state(peer),
             "document": lambda peer, told: self.adopt(msgspec.convert(told["state"], State)),
-            "present": self.peers.heard,
+            "present": self.quota_share.heard,
             "leaving": lambda peer, told: self.peers.mark_leaving(peer),
             "news": lambda peer, told: self.registry.heard(peer, told, self.now),
             "known": lambda peer, told: self.registry.heard(peer, told, self.now),
@@ -206,6 +223,10 @@
                 kind: lambda peer, told: self.demand.heard(peer, told, self.now)
                 for kind in QUOTA_MESSAGE_KINDS
             },
+            **{
+                kind: lambda peer, told: self.directory.heard(peer, told, self.now)
+                for kind in DIRECTORY_MESSAGE_KINDS
+            },
         }
 
     def tick(self, now: float) -> None:
@@ -213,6 +234,9 @@
         self.now = max(self.now, now)
         self.agreement.tick(self.now)
         self.peers.tick(self.now)
+        self.directory.tick(self.now)
+        self.quota_share.tick(self.now)
+        self.peers.count = self.quota_share.count
         self.founding.tick(self.now)
         self.registry.tick(self.now)
         self.demand.tick(self.now)
@@ -237,9 +261,17 @@
             self.short = short
             self.on_view(f"members short: {short}" if short is not None else "members suffice")
 
+    def has_disk_of(self, roster: Roster) -> bool:
+        """True if the roster names this gateway with the disk that it has: what it stored is not lost."""
+        seat = roster.members.get(self.me.name)
+        return seat is not None and seat.store == self.me.store
+
     def members_changed(self, roster: Roster) -> None:
         """Handles a new epoch: announces its roster to all linked peers."""
-        self.peers.roster = roster
+        before, self.peers.roster = self.peers.roster, roster
+        self.directory.change_members(before, roster, self.has_disk_of(roster), self.now)
+        self.quota_share.change_members(roster)
+        self.demand.change_members(before, roster, self.now)
         self.on_view(f"members epoch={roster.epoch} names={','.join(sorted(roster.members))}")
         for name in self.peers.linked:
             self.effects.mail.append((name, self.agreement.roster_message(name)))
--- a/embersill/edge/peers/peer_set.py
+++ b/embersill/edge/peers/peer_set.py
@@ -1,23 +1,20 @@
-"""Tracks the linked gateways, the number of gateways that core members report, and whom to dial. No I/O.
+"""Tracks the linked gateways, and whom to dial. No I/O.
 
 Every gateway keeps a link to each core member, and the members watch it: both ends close a link that brings
-nothing for a while. The members tell every gateway how many gateways they see.
+nothing for a while.
 """
 
 from __future__ import annotations
 
 from collections.abc import Iterable
-from typing import Any
 
 import msgspec
 
 from embersill.edge.records import Effects, Roster
 
-FORGET_AFTER_S = 60.0  # after which an unlinked gateway is no longer counted
-RELINK_GRACE_S = 4.0  # after a restart, within which the earlier gateways link again
+FORGET_AFTER_S = 60.0  # after which an unlinked gateway is no longer known here
 LINK_SILENT_AFTER_S = 0.65  # without a message over a link, after which its other end may be cut off
-UNLINKED_SILENT_AFTER_S = 1.0  # after an unlinked gateway's last message; until then its quota slice counts
-Message = dict[str, Any]
+UNLINKED_SILENT_AFTER_S = 1.0  # after an unlinked gateway's last message, after which it may be cut off
 
 
 class Hello(msgspec.Struct, frozen=True):
@@ -35,6 +32,7 @@
     orders: int = 0  # the number of the orders beside the configuration
     elector: bool = False  # a seed that votes on the members of the first epoch
     leaving: bool = False  # it is shutting down: another gateway should take its seat, if there is one
+    keeps_directory: bool = False  # as a member it tells the others which gateways have a share
 
 
 class PeerSet:
@@ -48,26 +46,20 @@
         self.known_peers: dict[str, Hello] = {}  # all that were linked here, until FORGET_AFTER_S
         self.unlinked_since: dict[str, float] = {}  # time of the last message of each unlinked one
         self.heard_at: dict[str, float] = {}  # time of the last message of each linked one
-        self.counts_by_member: dict[str, int] = {}  # how many gateways each core member counts
-        self.announced_count = -1
+        self.linked_at = now  # time of the newest link
         self.roster: Roster | None = None
-        self.min_count, self.min_count_until = (
-            0,
-            now,
-        )  # from before a restart: those gateways will link again
-        self.count = 1
+        self.count = 1  # by how many gateways what all share is divided, as the members tell it
 
     def link(self, hello: Hello, now: float) -> None:
         """Records a new link."""
         self.linked[hello.name] = self.known_peers[hello.name] = hello
-        self.heard_at[hello.name] = now
+        self.heard_at[hello.name] = self.linked_at = now
         self.unlinked_since.pop(hello.name, None)
 
     def unlink(self, name: str, now: float) -> None:
         """Records a lost link."""
         if self.linked.pop(name, None) is not None:
             self.unlinked_since[name] = self.heard_at.pop(name)
-            self.counts_by_member.pop(name, None)
 
     @property
     def core(self) -> list[str]:
@@ -127,30 +119,14 @@
             for name, since in self.unlinked_since.items()
             if UNLINKED_SILENT_AFTER_S < now - since <= FORGET_AFTER_S
         ]
-        return absent + [name for name, at in self.heard_at.items() if now - at > LINK_SILENT_AFTER_S]
+        return absent + self.unheard(now)
+
+    def unheard(self, now: float) -> list[str]:
+        """Linked gateways that have sent nothing for a while, though even an idle one sends heartbeats."""
+        return [name for name, at in self.heard_at.items() if now - at > LINK_SILENT_AFTER_S]
 
     def tick(self, now: float) -> None:
-        """Forgets gateways that were unlinked for long, and updates and announces the count."""
+        """Forgets gateways that were unlinked for long."""
         for name, since in list(self.unlinked_since.items()):
             if now - since > FORGET_AFTER_S:
                 del self.unlinked_since[name], self.known_peers[name]
-        if self.roster is not None and self.me.name in self.roster.members:
-            if self.lacks_majority:
-                # otherwise it would count only itself and use each quota in full
-                self.min_count_until = now + RELINK_GRACE_S
-            self.count = max(len(self.known_peers) + 1, self.min_count if now < self.min_count_until else 0)
-            if self.count != self.announced_count:
-                self.announced_count = self.count
-                for name in self.linked:
-                    self.effects.mail.append((name, {"kind": "present", "count": self.count}))
-        elif self.counts_by_member:
-            self.count = max(self.counts_by_member.values())
-
-    def expect_count(self, count: int, now: float) -> None:
-        """Counts at least as many gateways as before the restart, until they have had time to link."""
-        self.min_count, self.min_count_until = count, now + RELINK_GRACE_S
-
-    def heard(self, peer: str, message: Message) -> None:
-        """Handles a core member's count of gateways."""
-        if self.roster is not None and peer in self.roster.members:
-            self.counts_by_member[peer] = max(int(message["count"]), 1)
--- a/embersill/edge/program.py
+++ b/embersill/edge/program.py
@@ -37,7 +37,7 @@
 from embersill.edge.storage.store import Store
 from embersill.edge.dataplane.metrics import Metrics
 from embersill.edge.dataplane.quota_client import QuotaClient
-from embersill.interface import Backend, Configured, ListKind, Settings, Status
+from embersill.interface import Backend, Configured, ListKind, QuotaWidth, Settings, Status
 from embersill.net.backends import Pool
 from embersill.net.clients import Front
 from embersill.net.discovery import Entry, Listing, read_address
@@ -94,7 +94,7 @@
         self.node.on_view = log.info
         self.node.on_table, self.node.on_instances = self.configuration_changed, self.instances_changed
         self.node.on_policy = self.policy_changed
-        self.count = 1
+        self.count, self.quota_width = 1, -1  # as last passed to the decisions
         descriptors = int(local["limits"]["file_descriptors"]) - FILE_DESCRIPTORS - INTERNAL_DESCRIPTORS
         clients = max(int(descriptors * CLIENT_DESCRIPTOR_SHARE), 16)
         dialect = EdgeDialect(self.misdirected)
@@ -240,6 +240,9 @@
             if self.node.peers.count != self.count:
                 self.count = self.node.peers.count
                 self.driver.post(Configured(self.settings()))
+            if self.node.quota_share.width != self.quota_width:
+                self.quota_width = self.node.quota_share.width
+                self.driver.post(QuotaWidth(self.quota_width))
             self.flush_effects()
         except Exception:
             log.exception("a tick went wrong")
--- a/embersill/edge/quota/demand.py
+++ b/embersill/edge/quota/demand.py
@@ -5,11 +5,13 @@
 from collections.abc import Callable
 
 from embersill.edge.consensus.agreement import Agreement
-from embersill.edge.records import Effects, Message
+from embersill.edge.records import Effects, Message, Roster
+from embersill.edge.peers.directory import GatewayDirectory
 from embersill.edge.peers.ring import rendezvous_order
 from embersill.edge.peers.peer_set import Hello, PeerSet
+from embersill.edge.peers.quota_share import QuotaShare
 from embersill.edge.configuration.routes import Table
-from embersill.edge.quota.sums import Sums
+from embersill.edge.quota.sums import SLICE_TTL_S, STARTUP_GRACE_S, Division, Sums
 
 CLEANUP_INTERVAL_S = 0.25  # a pass over all accounts costs tenants times gateways
 QUOTA_MESSAGE_KINDS = frozenset(("use", "holds", "totals", "sliced", "borrow", "lent"))
@@ -22,12 +24,28 @@
     return {str(name): float(amount) for name, amount in told.items()}
 
 
+def summing_member(tenant: str, roster: Roster | None) -> str:
+    """The member of an epoch that sums a tenant's demand; empty if there is none."""
+    return rendezvous_order(tenant, roster.members)[0] if roster is not None and roster.members else ""
+
+
 class Demand:
     """One gateway's side of the quota protocol; it assigns slices for the tenants the ring maps to it."""
 
-    def __init__(self, me: Hello, peers: PeerSet, agreement: Agreement, effects: Effects, now: float) -> None:
+    def __init__(
+        self,
+        me: Hello,
+        peers: PeerSet,
+        agreement: Agreement,
+        directory: GatewayDirectory,
+        share: QuotaShare,
+        effects: Effects,
+        now: float,
+    ) -> None:
         self.me, self.peers, self.agreement, self.effects = me, peers, agreement, effects
-        self.sums = Sums(now)
+        self.directory, self.share = directory, share
+        self.sums, self.started_at = Sums(), now
+        self.taken_over_at: dict[str, float] = {}  # tenants that another member summed before
         self.table: Table | None = None
         self.silent: set[str] = set()  # as of the last tick
         self.cleaned_at = now
@@ -38,17 +56,34 @@
 
     def linked(self, peer: Hello) -> None:
         """Tells a newly linked core member which slices are in use here: it may have just started."""
-        holding = self.on_holding() if peer.core else {}
+        self.send_holding([peer.name] if peer.core else [])
+
+    def send_holding(self, members: list[str]) -> None:
+        """Tells members which slices are in use here."""
+        holding = self.on_holding() if members else {}
         if holding:
-            self.effects.mail.append((peer.name, {"kind": "holds", "slices": holding}))
+            message = {"kind": "holds", "slices": holding}
+            self.effects.mail.extend((name, message) for name in members)
+
+    def change_members(self, before: Roster | None, roster: Roster, now: float) -> None:
+        """Follows a new epoch: tenants may be summed by members that don't know the slices in use."""
+        if before is None:
+            return
+        self.send_holding([name for name in roster.members if name in self.peers.linked])
+        self.taken_over_at = {
+            tenant: at for tenant, at in self.taken_over_at.items() if now - at <= SLICE_TTL_S
+        }
+        for tenant in self.table.tenants_with_quota() if self.table is not None else ():
+            if summing_member(tenant, before) != self.me.name == summing_member(tenant, roster):
+                self.taken_over_at[tenant] = now
 
     def tick(self, now: float) -> None:
         """Recomputes all slices when a gateway falls silent, since it may go on using the even slice."""
         if now - self.cleaned_at >= CLEANUP_INTERVAL_S:
             self.cleaned_at = now
             self.sums.forget(now)
-        silent = set(self.peers.silent(now))
-        newly_silent, self.silent = silent - self.silent, silent
+        silent = self.silent_shares(now).keys()
+        newly_silent, self.silent = silent - self.silent, set(silent)
         if not newly_silent:
             return
         for gateway, tenants in self.sums.tenants_by_gateway(now).items():
@@ -82,22 +117,39 @@
 
     def summing(self, tenant: str) -> str:
         """The core member that sums a tenant's demand and holds its reserve; empty if none is known."""
-        roster = self.agreement.roster
-        return rendezvous_order(tenant, roster.members)[0] if roster is not None and roster.members else ""
+        return summing_member(tenant, self.agreement.roster)
 
-    def quota(self, tenant: str) -> tuple[float, float]:
-        """A tenant's rate and burst; zeros if there is no limit or another member sums the demand."""
+    def quota(self, tenant: str, now: float) -> tuple[float, float]:
+        """A tenant's rate and burst; zeros if there is no limit, or this member may not divide the quota.
+
+        It may not if another one sums the demand, if it may lack gateways in its directory, or if it has
+        lost the majority for so long that others may divide the quota without regard to what it assigns.
+        """
         if self.table is None or self.table.stopped(tenant) or self.summing(tenant) != self.me.name:
             return 0.0, 0.0
+        if not self.directory.complete or not self.share.lease_held(now):
+            return 0.0, 0.0
         return self.table.quota(tenant)
 
+    def silent_shares(self, now: float) -> dict[str, float]:
+        """By name, the share of each quota that gateways may use which can't be heard."""
+        return self.directory.silent_shares(self.peers.unheard(now), now)
+
+    def division(self, tenant: str, silent: dict[str, float], now: float) -> Division:
+        """How a tenant's quota is divided at the moment."""
+        since = max(self.started_at, self.taken_over_at.get(tenant, self.started_at))
+        # gateways that can't be heard can't report their slices: these have to run out
+        settling = now - since < (SLICE_TTL_S if silent else STARTUP_GRACE_S)
+        return Division(self.peers.count, silent, settling)
+
     def slices(self, gateway: str, tenants: list[str], now: float) -> dict[str, float]:
         """A gateway's slices of the quotas that are assigned here."""
-        silent, made = self.peers.silent(now), {}
+        silent, made = self.silent_shares(now), {}
         for tenant in tenants:
-            rate, burst = self.quota(tenant)
+            rate, burst = self.quota(tenant, now)
             if rate > 0:
-                made[tenant] = self.sums.slice(tenant, gateway, rate, self.peers.count, silent, now, burst)
+                division = self.division(tenant, silent, now)
+                made[tenant] = self.sums.slice(tenant, gateway, rate, division, now, burst)
         return made
 
     def lend(
@@ -109,9 +161,10 @@
         it here.
         """
         missing = [tenant for tenant in asked if not self.sums.has_slice(tenant, gateway, now)]
-        silent, lent = self.peers.silent(now), {}
+        silent, lent = self.silent_shares(now), {}
         for tenant, units in asked.items():
-            rate, burst = self.quota(tenant)
+            rate, burst = self.quota(tenant, now)
             exact = self.table is not None and tenant in self.table.slowed_tenants
-            lent[tenant] = self.sums.lend(tenant, units, rate, burst, self.peers.count, silent, now, exact)
+            division = self.division(tenant, silent, now)
+            lent[tenant] = self.sums.lend(tenant, units, rate, burst, division, now, exact)
         return lent, self.slices(gateway, missing, now) if missing and self.peers.count > 1 else {}
--- a/embersill/edge/quota/sums.py
+++ b/embersill/edge/quota/sums.py
@@ -10,13 +10,14 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
 from embersill.throttle import slice_of
 
 DEMAND_SMOOTHING = 0.5  # weight of the last second in a gateway's smoothed demand
 DEMAND_TTL_S = 1.6  # a report is valid this long: they come every second, and one may be late
-STARTUP_GRACE_S = 0.8  # after a start, for gateways to link and to report the slices that they still use
+STARTUP_GRACE_S = 0.8  # after a member begins to sum, for gateways to report the slices that they still use
 SLICE_TTL_S = 2.6  # how long a slice may be used after it was assigned, with a little for its delivery
 MIN_SLICE_SHARE = 0.02  # of the even slice, always assigned so that demand which moves here can be noticed
 HEADROOM_SHARE = 0.35  # of the unused quota, split among slices; the rest flows into the reserve
@@ -29,6 +30,24 @@
 MAX_TENANTS = 20000
 
 
+@dataclass(frozen=True, slots=True)
+class Division:
+    """How quotas are divided at the moment.
+
+    `width`: the even slice is one part in so many. `silent`: by name, the share of each quota that gateways
+    may use which can't be heard. `settling`: slices that were assigned elsewhere, or before a restart, may
+    still be in use without being known here.
+    """
+
+    width: int
+    silent: Mapping[str, float] = field(default_factory=dict)
+    settling: bool = False
+
+    def even(self, quota: float) -> float:
+        """The even slice."""
+        return quota / max(self.width, 1)
+
+
 class Account:
     """One tenant's demand and slice by gateway, and the reserve of what slices leave."""
 
@@ -47,9 +66,9 @@
 class Sums:
     """The accounts kept at this member. After a start it does not know yet which slices others hold."""
 
-    def __init__(self, now: float, overshoot: float = 0.0, slack: float = 0.0) -> None:
+    def __init__(self, overshoot: float = 0.0, slack: float = 0.0) -> None:
         """`overshoot`, `slack`: allowed by the deployment's bound above a quota, as a share and in units."""
-        self.born, self.overshoot, self.slack = now, overshoot, slack
+        self.overshoot, self.slack = overshoot, slack
         self.accounts: dict[str, Account] = {}
 
     def account(self, tenant: str, now: float) -> Account | None:
@@ -75,26 +94,31 @@
             if account is not None and gateway not in account.slices:
                 account.slices[gateway] = max(rate, 0.0), now
 
-    def total(self, tenant: str, even: float, silent: Iterable[str], now: float) -> float:
-        """The total demand in requests per second; a silent gateway counts for at least its even slice."""
-        account, away = self.accounts.get(tenant), set(silent)
+    def total(self, tenant: str, quota: float, silent: Mapping[str, float], now: float) -> float:
+        """The total demand in requests per second; a silent gateway counts for at least its share."""
+        account = self.accounts.get(tenant)
         demand = account.demand if account is not None else {}
         whole = sum(
-            own for name, (own, at) in demand.items() if now - at <= DEMAND_TTL_S and name not in away
+            own for name, (own, at) in demand.items() if now - at <= DEMAND_TTL_S and name not in silent
         )
-        return whole + sum(max(even, demand.get(name, (0.0, 0.0))[0]) for name in away)
+        away = sum(max(share * quota, demand.get(name, (0.0, 0.0))[0]) for name, share in silent.items())
+        return whole + away
 
     def committed(
-        self, account: Account, even: float, silent: Iterable[str], now: float, excluding: str = ""
+        self, account: Account, quota: float, silent: Mapping[str, float], now: float, excluding: str = ""
     ) -> float:
-        """The rate that all others may use now: their last slices, and the even slice for silent gateways."""
-        away = set(silent) - {excluding}
-        committed = sum(
-            max(rate, even if name in away else 0.0)
+        """The rate that all others may use now: their last slices, and for silent gateways their shares."""
+        heard = sum(
+            rate
             for name, (rate, _) in account.slices.items()
-            if name != excluding and (name in away or account.in_use(name, now))
+            if name != excluding and name not in silent and account.in_use(name, now)
         )
-        return committed + even * len(away - account.slices.keys())
+        away = sum(
+            max(account.slices.get(name, (0.0, 0.0))[0], share * quota)
+            for name, share in silent.items()
+            if name != excluding
+        )
+        return heard + away
 
     def has_slice(self, tenant: str, gateway: str, now: float) -> bool:
         """True if this gateway uses a slice that was assigned here, and not the even one."""
@@ -110,31 +134,30 @@
                     found.setdefault(name, []).append(tenant)
         return found
 
-    def idle_gateways(self, account: Account, gateways: int, silent: list[str], now: float) -> int:
+    def idle_gateways(self, account: Account, division: Division, now: float) -> int:
         """The number of gateways on the even slice: idle, with a part of the burst in their own buckets."""
-        others = {name for name in account.slices if account.in_use(name, now)}.union(silent)
-        return max(gateways - len(others), 0)
+        others = {name for name in account.slices if account.in_use(name, now)}.union(division.silent)
+        return max(division.width - len(others), 0)
 
     def slice(
         self,
         tenant: str,
         gateway: str,
         quota: float,
-        gateways: int,
-        silent: list[str],
+        division: Division,
         now: float,
         burst: float = math.inf,
     ) -> float:
         """Assigns a gateway's rate from now on; minimal if its bucket could not hold a whole token."""
-        account, even = self.account(tenant, now), quota / max(gateways, 1)
+        account, even = self.account(tenant, now), division.even(quota)
         if account is None or quota <= 0:
             return even
         own = account.demand.get(gateway, (0.0, now))[0]
-        total = max(self.total(tenant, even, silent, now), own)
-        rate = slice_of(own, total, quota, max(gateways, 1), HEADROOM_SHARE)
-        if now - self.born < STARTUP_GRACE_S:  # older slices may be in use, and no demand is known yet
+        total = max(self.total(tenant, quota, division.silent, now), own)
+        rate = slice_of(own, total, quota, max(division.width, 1), HEADROOM_SHARE)
+        if division.settling:  # older slices may be in use, and no demand is known yet
             rate = even
-        rate = min(rate, quota - self.committed(account, even, silent, now, gateway))
+        rate = min(rate, quota - self.committed(account, quota, division.silent, now, gateway))
         if burst * rate < quota:  # left to the reserve, which lends it to the gateway that asks first
             rate = 0.0
         # rounded as it is sent: traffic between zones is expensive
@@ -148,8 +171,7 @@
         asked: float,
         quota: float,
         burst: float,
-        gateways: int,
-        silent: list[str],
+        division: Division,
         now: float,
         exact: bool = False,
     ) -> float:
@@ -160,19 +182,15 @@
         account = self.account(tenant, now)
         if account is None or quota <= 0:
             return 0.0
-        even = quota / max(gateways, 1)
-        free = (
-            max(quota - self.committed(account, even, silent, now), 0.0)
-            if now - self.born >= STARTUP_GRACE_S
-            else 0.0
-        )
-        if gateways <= 1:
-            free = 0.0  # the only gateway has the whole quota as its slice
+        even = division.even(quota)
+        free = max(quota - self.committed(account, quota, division.silent, now), 0.0)
+        if division.settling or division.width <= 1:
+            free = 0.0  # not known yet; or the only gateway has the whole quota as its slice
         above = 0.0 if exact else self.overshoot * (BURST_WINDOW_S * quota + burst) + self.slack
         if not account.begun:
             account.begun, account.level = True, RESERVE_INITIAL_SHARE * above
         # buckets that cannot hold a whole token admit nothing by themselves
-        idle = self.idle_gateways(account, gateways, silent, now) if burst >= gateways else 0
+        idle = self.idle_gateways(account, division, now) if burst >= division.width else 0
         depth = burst * max(free - even * idle, 0.0) / quota + RESERVE_DEPTH_SHARE * above
         flow = free + RESERVE_REFILL_SHARE * above / BURST_WINDOW_S
         level = min(account.level + flow * max(now - account.stamp, 0.0), depth)
--- a/embersill/edge/records.py
+++ b/embersill/edge/records.py
@@ -66,6 +66,22 @@
     roster: Roster | None = None  # the roster accepted under the `accepted` ballot
 
 
+class EntrySnapshot(msgspec.Struct, frozen=True, array_like=True):
+    """Stored on disk: parts of each quota, for one gateway (see `GatewayDirectory`)."""
+
+    reserved: float  # set aside while it can't be heard
+    grantable: float  # may be granted to it without asking the other members
+    claim: float  # was granted to it, or may be
+
+
+class DirectorySnapshot(msgspec.Struct, frozen=True):
+    """Stored on disk: the gateways that may use a share of each quota, as known by a member of this epoch."""
+
+    epoch: int
+    complete: bool  # no gateway that has a share was missing
+    entries: dict[str, EntrySnapshot]
+
+
 class Stored(msgspec.Struct, frozen=True):
     """The contents of the disk at startup."""
 
@@ -73,9 +89,10 @@
     begun: EpochStart | None = None
     remembered: RegisterSnapshot | None = None
     backends: bytes = b""  # the registry's last saved list, encoded
-    gateways: int = 0  # how many gateways the system had
+    gateways: int = 0  # how many gateways the system had, as kept by versions without a directory
     state: State | None = None  # the last state in force here that was chosen by a majority
     vote: Vote | None = None  # a seed's vote in the election of the first epoch
+    directory: DirectorySnapshot | None = None  # the gateways that may use a share of each quota
 
     @property
     def open_vote(self) -> Vote | None:
--- a/embersill/edge/status.py
+++ b/embersill/edge/status.py
@@ -14,6 +14,7 @@
     """The body of a status answer, as described by `Status` in openapi.json."""
     roster, version = node.agreement.roster, node.state["version"]
     short = node.founding.shortfall()
+    silent_shares = node.demand.silent_shares(node.now)
     backends: dict[str, dict[str, int]] = {}
     for one in node.registry.instances.known.values():
         state = "lost" if one.lost else one.state
@@ -30,6 +31,9 @@
         "short": str(short) if short is not None else "",
         "keeper": node.peers.keeper(node.me.zone),
         "gateways": node.peers.count,
+        "quota_share": node.quota_share.width,
+        "quotas_set_aside": {name: round(share, 4) for name, share in sorted(silent_shares.items())},
+        "directory_complete": node.directory.complete,
         "linked": sorted(node.peers.linked),
         "behind": sorted(
             name for name in node.peers.linked if not node.distribution.has_version(name, (version, 0))
--- a/embersill/edge/storage/store.py
+++ b/embersill/edge/storage/store.py
@@ -24,7 +24,8 @@
 from expression import Error, Ok, Result
 
 from embersill.edge.consensus.election import VOTE_KEY
-from embersill.edge.records import EpochStart, RegisterSnapshot, Save, Stored, Vote
+from embersill.edge.peers.directory_exchange import DIRECTORY_KEY
+from embersill.edge.records import DirectorySnapshot, EpochStart, RegisterSnapshot, Save, Stored, Vote
 from embersill.edge.configuration.document import State
 
 FORMAT = b"embersill-1"
@@ -76,6 +77,9 @@
                 int(found.get("gateways", b"0")),
                 msgspec.msgpack.decode(found["state"], type=State) if "state" in found else None,
                 msgspec.json.decode(found[VOTE_KEY], type=Vote) if VOTE_KEY in found else None,
+                msgspec.msgpack.decode(found[DIRECTORY_KEY], type=DirectorySnapshot)
+                if DIRECTORY_KEY in found
+                else None,
             )
         )
     except (msgspec.MsgspecError, KeyError, ValueError) as error:
--- a/embersill/interface.py
+++ b/embersill/interface.py
@@ -335,6 +335,13 @@
     age: float | None = 0.0  # seconds since it was asked for; None: it was not, and expires with the last
 
 
+@dataclass(frozen=True, slots=True)
+class QuotaWidth:
+    """By how many quotas are divided where no slice was assigned; 0: nothing may be used without a slice."""
+
+    width: int
+
+
 @dataclass(frozen=True, slots=True)
 class BorrowResult:
     """The units that the quota reserve granted for a Borrow; negative: the reserve could not be asked."""
@@ -375,6 +382,7 @@
     | Configured
     | BorrowResult
     | QuotaSlice
+    | QuotaWidth
     | PeerLoad
 )
 
--- a/embersill/lab/edge/fleet.py
+++ b/embersill/lab/edge/fleet.py
@@ -10,7 +10,8 @@
 
 from embersill.edge.consensus.election import VOTE_KEY
 from embersill.edge.consensus.founding import address_key
-from embersill.edge.records import EpochStart, RegisterSnapshot, Save, Stored, Vote
+from embersill.edge.peers.directory_exchange import DIRECTORY_KEY
+from embersill.edge.records import DirectorySnapshot, EpochStart, RegisterSnapshot, Save, Stored, Vote
 from embersill.edge.configuration.document import NO_LAPSES, Order, State, revision
 from embersill.edge.consensus.membership import Requirements
 from embersill.edge.node import Node
@@ -85,6 +86,9 @@
             msgspec.json.decode(epoch_start, type=EpochStart) if epoch_start else None,
             msgspec.msgpack.decode(snapshot, type=RegisterSnapshot) if snapshot else None,
             gateways=int(self.disk.get("gateways", b"0")),
+            directory=msgspec.msgpack.decode(self.disk[DIRECTORY_KEY], type=DirectorySnapshot)
+            if DIRECTORY_KEY in self.disk
+            else None,
             vote=self.initial_vote(first_start),
             state=msgspec.msgpack.decode(self.disk["state"], type=State) if "state" in self.disk else None,
         )
--- a/embersill/lab/edge/system_simulation.py
+++ b/embersill/lab/edge/system_simulation.py
@@ -30,6 +30,7 @@
     Fail,
     ListKind,
     Outcome,
+    QuotaWidth,
     Refuse,
     Request,
     Send,
@@ -47,6 +48,7 @@
 CONNECTION_REFUSED_S = 0.002  # time until a connection to a backend that is down is refused
 CLIENT_TIMEOUT_S = 2.0  # default
 TARGET_LATENCY_S, LATE_WORTH = 0.5, 0.5  # full worth up to this latency; worth after it
+SHARE_EPSILON = 1e-9  # of shares that are compared
 DEADLINE_MARGIN_S = 0.1  # a request's deadline is this long before its client's timeout
 
 
@@ -101,7 +103,8 @@
     def start_data_plane(self, first_start: bool) -> None:
         """Creates the data plane and connects it to the node."""
         assert self.node is not None
-        self.first_start, self.count = first_start, 1
+        self.first_start, self.count, self.quota_width = first_start, 1, -1
+        self.node.demand.on_holding = self.slices_in_use
         self.decider = EdgeGateway(self.settings(), self.fleet.chance.getrandbits(32), self.fleet.kernel.now)
         self.quota_client = QuotaClient(
             self.node, lambda: self.fleet.kernel.now, self.post, self.process.after
@@ -126,6 +129,15 @@
         )
         self.post(BackendList(ListKind.CHANGES, backends))
 
+    def slices_in_use(self) -> dict[str, float]:
+        """The assigned slices that are still in use, by tenant."""
+        now = self.fleet.kernel.now
+        return {
+            name: throttle.rate
+            for name, throttle in self.decider.throttles.items()
+            if throttle.read_until > now
+        }
+
     def settings(self) -> Settings:
         """The gateway settings for the current configuration and number of gateways."""
         assert self.node is not None
@@ -158,6 +170,9 @@
             if self.node.peers.count != self.count:
                 self.count = self.node.peers.count
                 self.post(Configured(self.settings()))
+            if self.node.quota_share.width != self.quota_width:
+                self.quota_width = self.node.quota_share.width
+                self.post(QuotaWidth(self.quota_width))
         super().tick()
 
     def kill(self) -> None:
@@ -378,6 +393,27 @@
         self.kernel.at(self.kernel.now + chance.expovariate(rate_per_s), arrive)
 
 
+def missing_shares(system: SystemSimulation) -> list[str]:
+    """The shares that a member which may assign quotas has not, or not in full, in its directory."""
+    now = system.kernel.now
+    nodes = {machine.name: machine.node for machine in system.machines if machine.node is not None}
+    epochs = [node.agreement.roster.epoch for node in nodes.values() if node.agreement.roster is not None]
+    found = []
+    for name, node in nodes.items():
+        roster, directory = node.agreement.roster, node.directory
+        if roster is None or roster.epoch < max(epochs) or not directory.complete:
+            continue
+        for gateway, other in nodes.items():
+            width = other.quota_share.width
+            entry = directory.table.entries.get(gateway)
+            if not width or not other.quota_share.lease_held(now):
+                continue
+            if entry is None or entry.reserved < 1.0 / width - SHARE_EPSILON:
+                held = f"1/{width}, entered as {entry.reserved if entry is not None else 'nothing'}"
+                found.append(f"{gateway} may use {held} at {name}, at {now:.2f} s")
+    return found
+
+
 def system_with_tenants(
     seed: int,
     gateways: int,
--- a/embersill/lab/edge/totals.py
+++ b/embersill/lab/edge/totals.py
@@ -79,7 +79,7 @@
         system.run(SAMPLE_INTERVAL_S)
         now = system.kernel.now
         actual_rates.append(sum(now - 1.0 < record.asked_at <= now for record in reversed(system.requests)))
-        total = summing.node.demand.sums.total("t", 0.0, (), now) if summing.node is not None else 0.0
+        total = summing.node.demand.sums.total("t", 0.0, {}, now) if summing.node is not None else 0.0
         estimated_totals.append(total)
     fault_free_samples = [
         n
--- a/tests/edge/test_fences.py
+++ b/tests/edge/test_fences.py
@@ -19,6 +19,11 @@
 ATTEMPT_OUTCOMES_TEST = (
     "test_connection_states.py::test_an_attempt_has_its_outcome_and_the_next_one_gets_its_own_response"
 )
+DIRECTORY, SHARE_TABLE = "embersill.edge.peers.directory", "embersill.edge.peers.share_table"
+QUOTA_SAFETY_TEST = "test_quota_safety.py::test_"
+NO_DISK_TEST = (
+    QUOTA_SAFETY_TEST + "a_member_without_its_disk_assigns_nothing_before_another_has_told_it_who_has_a_share"
+)
 MEMBERSHIP, CONTROL_TEST = "embersill.edge.consensus.membership", "test_control.py::test_"
 ROLLOUT_TEST, ROLLOUTS = "test_rollout.py::test_", "embersill.edge.configuration.rollouts"
 ATTEMPTS = "embersill.edge.dataplane.attempts"
@@ -94,7 +99,7 @@
             "dealt-once",
             QUOTA_SUMS,
             "quota that other gateways already hold is allocated a second time",
-            "rate = min(rate, quota - self.committed(account, even, silent, now, gateway))",
+            "rate = min(rate, quota - self.committed(account, quota, division.silent, now, gateway))",
             "pass",
         ),
     ),
@@ -104,8 +109,8 @@
             "silent-slice",
             QUOTA_SUMS,
             "partitioned gateways are assumed to use none of the quota",
-            "return committed + even * len(away - account.slices.keys())",
-            "return committed",
+            "return heard + away",
+            "return heard",
         ),
     ),
     (
@@ -179,10 +184,10 @@
         "test_system.py::test_nobody_serves_an_unvouched_configuration_and_one_on_its_own_counts_all",
         Fence(
             "own-count",
-            "embersill.edge.peers.peer_set",
+            DIRECTORY,
             "a core member without a majority assumes that it is the only gateway",
-            "if self.lacks_majority:",
-            "if False:",
+            "saved = dict(snapshot.entries) if snapshot is not None else {}",
+            "saved = {}",
         ),
     ),
     (
@@ -201,8 +206,58 @@
             "unheard",
             "embersill.edge.peers.peer_set",
             "a linked gateway that is partitioned away is assumed to be idle",
-            "return absent + [name for name, at in self.heard_at.items() if now - at > LINK_SILENT_AFTER_S]",
-            "return absent",
+            "return [name for name, at in self.heard_at.items() if now - at > LINK_SILENT_AFTER_S]",
+            "return []",
+        ),
+    ),
+    (
+        QUOTA_SAFETY_TEST + "a_core_that_restarts_sets_aside_what_gateways_that_are_cut_off_may_use",
+        Fence(
+            "restored-shares",
+            SHARE_TABLE,
+            "a restarted member divides quotas among those that it hears",
+            "self.away = {name: entry for name, entry in self.entries.items() if name != self.me}",
+            "self.away = {}",
+        ),
+    ),
+    (
+        NO_DISK_TEST,
+        Fence(
+            "complete-first",
+            "embersill.edge.quota.demand",
+            "a member that may lack gateways in its directory assigns quotas",
+            "if not self.directory.complete or not self.share.lease_held(now):",
+            "if not self.share.lease_held(now):",
+        ),
+    ),
+    (
+        QUOTA_SAFETY_TEST + "a_gateway_has_no_share_while_a_member_can_not_store_it",
+        Fence(
+            "all-reserve",
+            DIRECTORY,
+            "a share is granted that a member would not know of after a restart",
+            "if entry.grantable < share <= entry.claim and self.all_reserve(name, entry, share):",
+            "if entry.grantable < share <= entry.claim:",
+        ),
+    ),
+    (
+        QUOTA_SAFETY_TEST + "a_share_lapses_before_it_is_divided_among_the_others_and_comes_back",
+        Fence(
+            "lease-ends",
+            "embersill.edge.peers.quota_share",
+            "a gateway that is cut off goes on using a share which others have been given",
+            "if self.width and not self.lease_held(now):",
+            "if False:",
+        ),
+    ),
+    (
+        QUOTA_SAFETY_TEST + "gateways_that_join_divide_only_what_those_cut_off_do_not_hold",
+        Fence(
+            "larger-shares",
+            SHARE_TABLE,
+            "the share of a gateway that is cut off counts as one of all that are there now",
+            "return max(math.ceil(even - EPSILON), len(self.entries), 1)",
+            "return max(len(self.entries), 1)",
         ),
     ),
     (
--- a/tests/edge/test_parts.py
+++ b/tests/edge/test_parts.py
@@ -16,7 +16,7 @@
 from embersill.edge.discovery.instances import Instance, Instances
 from embersill.edge.local import Local, read_local
 from embersill.edge.peers.ring import rendezvous_order
-from embersill.edge.quota.sums import DEMAND_TTL_S, SLICE_TTL_S, Sums
+from embersill.edge.quota.sums import DEMAND_TTL_S, SLICE_TTL_S, STARTUP_GRACE_S, Division, Sums
 from embersill.interface import (
     Action,
     AttemptEnded,
@@ -189,7 +189,7 @@
 def test_slices_loans_and_silent_gateways_together_stay_within_the_quota(seed: int) -> None:
     """Gateways report at random times, demand jumps and some fall silent: adds up what all may use."""
     rng, quota, gateways = random.Random(seed), 60.0, 8
-    sums = Sums(0.0, 0.1, 20.0)
+    sums = Sums(0.1, 20.0)
     slices: dict[str, tuple[float, float]] = {}  # rate and expiry time of each gateway's slice
     now, restarted = SLICE_TTL_S, 0.0
     silent: list[str] = []
@@ -199,7 +199,7 @@
         now += step
         if seed % 2 and now - restarted > 3.0 and 14.0 < now < 27.0 and rng.random() < 0.02:
             # the member that keeps the accounts restarts at the worst moment: one window spans both runs
-            sums, restarted = Sums(now, 0.1, 20.0), now
+            sums, restarted = Sums(0.1, 20.0), now
             for other, (rate, until) in slices.items():
                 if until >= now and other not in silent:
                     sums.restore_slices(other, {"t": rate}, now)
@@ -214,9 +214,11 @@
             continue
         busy = 12.0 if 15.0 < now < 25.0 else 3.0
         sums.record_demand(name, {"t": rng.uniform(0, 2 * busy)}, now)
-        slices[name] = sums.slice("t", name, quota, gateways, silent, now), now + SLICE_TTL_S
+        settling = now - restarted < (SLICE_TTL_S if silent else STARTUP_GRACE_S)
+        division = Division(gateways, dict.fromkeys(silent, 1 / gateways), settling)
+        slices[name] = sums.slice("t", name, quota, division, now), now + SLICE_TTL_S
         rates = sum(rate for rate, until in slices.values() if until >= now)
-        usage.append((now, sums.lend("t", 3.0, quota, quota, gateways, silent, now) + rates * step))
+        usage.append((now, sums.lend("t", 3.0, quota, quota, division, now) + rates * step))
         away = sum(quota / gateways for other in silent if slices.get(other, (0.0, 0.0))[1] < now)
         # a restarted account does not know the use of gateways that were silent before it started
         tolerance = 1.15 if restarted and now - restarted <= SLICE_TTL_S else 1.02
@@ -225,25 +227,25 @@
 
 
 def test_slices_follow_the_demand_and_the_rest_can_be_borrowed() -> None:
-    sums = Sums(0.0, 0.1, 20.0)
+    sums = Sums(0.1, 20.0)
     now = SLICE_TTL_S
     for _ in range(8):
         now += 1.0
         for name, asked in (("busy", 30.0), ("calm", 2.0)):
             sums.record_demand(name, {"t": asked}, now)
-            sums.slice("t", name, 100.0, 10, [], now)
+            sums.slice("t", name, 100.0, Division(10), now)
     account = sums.accounts["t"]
     assert account.slices["busy"][0] > 30.0 > 10.0 > account.slices["calm"][0] > 2.0
     used = account.slices["busy"][0] + account.slices["calm"][0]
-    assert sums.committed(account, 10.0, ["never heard of", "calm"], now) == pytest.approx(
+    assert sums.committed(account, 100.0, {"never heard of": 0.1, "calm": 0.1}, now) == pytest.approx(
         account.slices["busy"][0] + 10.0 + 10.0
     )
-    assert sums.committed(account, 10.0, [], now) == pytest.approx(used)
+    assert sums.committed(account, 100.0, {}, now) == pytest.approx(used)
     # the rest of the burst is in the token buckets of the other eight gateways
-    assert sums.lend("t", 1000.0, 100.0, 100.0, 10, [], now + 1) > 25.0
-    assert sums.lend("t", 1000.0, 100.0, 100.0, 10, [], now + 1) == 0.0
-    assert sums.total("t", 10.0, ["calm"], now) == pytest.approx(30.0 + 10.0, rel=0.1)
-    assert sums.total("t", 10.0, [], now + 2 * DEMAND_TTL_S) == 0.0
+    assert sums.lend("t", 1000.0, 100.0, 100.0, Division(10), now + 1) > 25.0
+    assert sums.lend("t", 1000.0, 100.0, 100.0, Division(10), now + 1) == 0.0
+    assert sums.total("t", 100.0, {"calm": 0.1}, now) == pytest.approx(30.0 + 10.0, rel=0.1)
+    assert sums.total("t", 100.0, {}, now + 2 * DEMAND_TTL_S) == 0.0
 
 
 def settings(gateways: int = 4, fresh: bool = True, rate: float = 50.0, **more: Any) -> Any:
--- a/tests/edge/test_store.py
+++ b/tests/edge/test_store.py
@@ -16,7 +16,15 @@
 
 from embersill.council.register import Register
 from embersill.edge.__main__ import main
-from embersill.edge.records import EpochStart, RegisterSnapshot, Roster, Save, Seat
+from embersill.edge.records import (
+    DirectorySnapshot,
+    EntrySnapshot,
+    EpochStart,
+    RegisterSnapshot,
+    Roster,
+    Save,
+    Seat,
+)
 from embersill.edge.configuration.document import EMPTY, State
 from embersill.edge.discovery.instances import Instance
 from embersill.edge.program import prepare
@@ -35,13 +43,16 @@
     register.load([])
     state: State = {"version": 26, "document": document(26), "taken": []}
     one = Instance("i-1", "s", "10.1.0.1:80", "a", 2, "ready", 7, 0.0)
+    share = EntrySnapshot(1 / 14, 1 / 14, 1 / 14)
+    directory = DirectorySnapshot(3, True, {f"n{number}": share for number in range(14)})
     store.write(
         {
             "begun": msgspec.json.encode(EpochStart(roster, EMPTY)),
             "state": msgspec.msgpack.encode(state),
             "remembered": msgspec.msgpack.encode(RegisterSnapshot(3, register.snapshot())),
             "backends": msgspec.msgpack.encode([one]),
-            "gateways": b"14",
+            "gateways": b"11",  # as kept by versions without a directory
+            "directory": msgspec.msgpack.encode(directory),
         }
     )
     return store
@@ -62,9 +73,13 @@
     again = Store(tmp_path, 16).begin(lambda: "another").ok
     assert again.store == "nonce" and again.begun is not None
     assert again.state is not None and again.state["version"] == 26
+    assert again.directory is not None and again.directory.complete and again.directory.epoch == 3
+    assert again.directory.entries["n13"].claim == 1 / 14
 
 
-@pytest.mark.parametrize("value", ["begun", "remembered", "state", "backends", "format", "store"])
+@pytest.mark.parametrize(
+    "value", ["begun", "remembered", "state", "backends", "directory", "format", "store"]
+)
 def test_what_is_damaged_is_named_and_never_believed(tmp_path: Path, capsys: Output, value: str) -> None:
     store = stored_folder(tmp_path)
     with store.environment.begin(write=True) as transaction:
@@ -81,6 +96,7 @@
     for value, data, why in (
         ("begun", b"{}", "invalid value"),
         ("gateways", b"many", "invalid value"),
+        ("directory", b"\xc1", "invalid value"),
         ("backends", b"\xc1", "list of backends"),
         ("format", b"embersill-9", "another format"),
     ):
