What gateways used until they count as silent is charged to the reserves

Cause: a gateway that is linked and idle counts as silent 0.65 s after its last message, and until then its part is lent to whoever asks. The member that was cut off lent itself 73 units in a second where 20 were left to it (loans and rates by quarters of a second); the others used their 80 by their fallback shares.

Change: as gateways fall silent, what they may have used since they were last heard, beyond known slices, is taken from the reserves, which pay that back before they lend again. So the window in which a part is counted for two has no effect on their sum over the quota's window.

test_a_member_that_is_cut_off_as_its_tenant_begins_lends_no_rate_that_others_use fails without it (fence unheard-use).

--- a/embersill/edge/quota/demand.py
+++ b/embersill/edge/quota/demand.py
@@ -86,6 +86,7 @@
         newly_silent, self.silent = silent - self.silent, set(silent)
         if not newly_silent:
             return
+        self.charge_unheard(newly_silent, now)
         for gateway, tenants in self.sums.tenants_by_gateway(now).items():
             if gateway == self.me.name:
                 self.on_slices(self.slices(gateway, tenants, now), now)
@@ -94,6 +95,15 @@
                 mail = {"kind": "sliced", "slices": self.slices(gateway, tenants, now), "at": None}
                 self.effects.mail.append((gateway, mail))
 
+    def charge_unheard(self, names: set[str], now: float) -> None:
+        """Takes from the reserves what gateways may have used since they were last heard."""
+        shares = self.silent_shares(now)
+        for tenant in list(self.sums.accounts):
+            rate, _ = self.quota(tenant, now)
+            for name in names & self.peers.heard_at.keys() if rate > 0 else ():
+                seconds = now - self.peers.heard_at[name]
+                self.sums.charge_unheard(tenant, name, shares[name] * rate, seconds, now)
+
     def heard(self, peer: str, message: Message, now: float) -> None:
         """Handles another gateway's quota message; raises KeyError, TypeError or ValueError if malformed."""
         kind, mail = message["kind"], self.effects.mail
--- a/embersill/edge/quota/sums.py
+++ b/embersill/edge/quota/sums.py
@@ -78,6 +78,17 @@
             found = self.accounts[tenant] = Account(now)
         return found
 
+    def charge_unheard(self, tenant: str, gateway: str, even: float, seconds: float, now: float) -> None:
+        """Takes from a reserve what a gateway may have used beyond its slice while it was not heard.
+
+        `even`: the rate that it may use without a slice, for so many seconds. Meanwhile that rate was lent to
+        others, as if the gateway were idle.
+        """
+        account = self.accounts.get(tenant)
+        if account is not None:
+            known = account.slices[gateway][0] if account.in_use(gateway, now) else 0.0
+            account.level -= max(even - known, 0.0) * seconds
+
     def record_demand(self, gateway: str, use: Mapping[str, float], now: float) -> None:
         """Records the units that tenants asked a gateway for in its last second."""
         for tenant, asked in use.items():
--- a/tests/edge/test_fences.py
+++ b/tests/edge/test_fences.py
@@ -260,6 +260,16 @@
             "return max(len(self.entries), 1)",
         ),
     ),
+    (
+        QUOTA_SAFETY_TEST + "a_member_that_is_cut_off_as_its_tenant_begins_lends_no_rate_that_others_use",
+        Fence(
+            "unheard-use",
+            "embersill.edge.quota.demand",
+            "what gateways use until they count as silent is lent to others as well",
+            "self.charge_unheard(newly_silent, now)",
+            "pass",
+        ),
+    ),
     (
         "test_parts.py::test_retries_are_charged_to_the_retry_budget_of_the_fleet",
         Fence(
--- a/tests/edge/test_quota_safety.py
+++ b/tests/edge/test_quota_safety.py
@@ -201,3 +201,26 @@
     gateway.start()
     system.run(1.0)
     assert gateway.quota_width == 6
+
+
+@pytest.mark.parametrize("gateways, rate, burst", [(5, 200.0, 20.0), (8, 200.0, 20.0)])
+def test_a_member_that_is_cut_off_as_its_tenant_begins_lends_no_rate_that_others_use(
+    gateways: int, rate: float, burst: float
+) -> None:
+    # until the others count as silent it took them for idle, and lent their rate to itself: 1.02 of the bound
+    system = system_with_quota(1, gateways, rate, burst)
+    system.run(3.0)
+    node = system.machines[0].node
+    assert node is not None
+    summing = system.by_name[node.demand.summing("t")]
+    chance = system.kernel.stream("where")
+
+    def choose_machine() -> Machine:
+        return summing if chance.random() < 0.5 else chance.choice(system.machines)
+
+    system.cut({summing.name})
+    system.generate_traffic("t", 4 * rate, choose_machine, system.kernel.now + 8.0)
+    system.run(2.3)
+    system.heal()
+    system.run(6.0)
+    assert 0.7 < system.peak_quota_usage["t"] <= 1.0
