lab quotas: seeded walks through restarts, replacements, cuts and changes of quota

A walk plays twelve disruptions on one of five simulated sites while a tenant asks for four times its quota: restarts of the core, of all, of some; cuts of any machines; replaced and wiped members; gateways that join and end; changed quotas. It checks the bound on what backends ran and, ten times a second, that every share which a gateway may use is reserved at every member that assigns quotas. Two seeds a site run in the tests.

--- a/embersill/lab/__main__.py
+++ b/embersill/lab/__main__.py
@@ -15,7 +15,16 @@
 from rich.table import Table
 
 from embersill.lab import commands, faults
-from embersill.lab.edge import control_command, days, plots, sites, soak_command, totals, town_command
+from embersill.lab.edge import (
+    control_command,
+    days,
+    plots,
+    quota_walk,
+    sites,
+    soak_command,
+    totals,
+    town_command,
+)
 from embersill.lab.fuzzing import command as fuzzing
 from embersill.rig.deployment import Deployment, Shape, run_with_faults
 
@@ -136,6 +145,7 @@
     fuzzing.add_to(subparsers)
     faults.add_to(subparsers)
     totals.add_to(subparsers)
+    quota_walk.add_to(subparsers)
     control_command.add_to(subparsers)
     sites.add_to(subparsers)
     days.add_to(subparsers)
@@ -154,6 +164,8 @@
         return commands.COMMANDS[options.what](options)
     if options.what in faults.COMMANDS:
         return faults.COMMANDS[options.what](options)
+    if options.what == "quotas":
+        return quota_walk.main(options)
     if options.what == "totals":
         return totals.main(options)
     if options.what == "site":
--- a/tests/edge/test_quota_safety.py
+++ b/tests/edge/test_quota_safety.py
@@ -13,6 +13,7 @@
 from embersill.edge.peers.quota_share import QUOTA_LEASE_S
 from embersill.edge.peers.share_table import EXPIRE_AFTER_S
 from embersill.lab.edge.fleet import Machine
+from embersill.lab.edge.quota_walk import SITES, Site, Walk
 from embersill.lab.edge.system_simulation import (
     Gateway,
     SystemSimulation,
@@ -203,6 +204,17 @@
     assert gateway.quota_width == 6
 
 
+@pytest.mark.parametrize("seed", range(2))
+@pytest.mark.parametrize("site", SITES, ids=lambda site: site.name)
+def test_no_walk_through_restarts_replacements_cuts_and_changes_of_quota_breaks_a_quota(
+    site: Site, seed: int
+) -> None:
+    # the bound on what ran, and that every share is reserved wherever quotas are assigned
+    walk = Walk(site, seed).run()
+    assert walk.peak <= 1.0, walk.history
+    assert not walk.missing, walk.history
+
+
 @pytest.mark.parametrize("gateways, rate, burst", [(5, 200.0, 20.0), (8, 200.0, 20.0)])
 def test_a_member_that_is_cut_off_as_its_tenant_begins_lends_no_rate_that_others_use(
     gateways: int, rate: float, burst: float
