A claim raised anew is agreed on anew, and only by members of the same epoch

Need: read again, two orders of events could let a member grant a share that another one does not reserve. A claim that was raised by a former member's, or after the loss of a disk, kept the number of its old message, so that answers to that one counted for the new one; and a member that had begun the next epoch answered one that had not, whose roster lacks the newest member.

--- a/embersill/edge/peers/directory.py
+++ b/embersill/edge/peers/directory.py
@@ -126,6 +126,7 @@
         self.table.dirty = self.table.changed = True
         for name in self.table.others:
             self.exchange.send_all(name)
+            self.exchange.answer(name)
         self.tick(now)
 
     def deactivate(self, roster: Roster) -> None:
@@ -197,7 +198,7 @@
     def become_complete(self) -> None:
         """Counts as complete. What it has granted before its disk was lost may be all that is reserved."""
         for entry in self.table.entries.values():
-            entry.claim = max(entry.claim, entry.reserved)
+            entry.raise_claim(entry.reserved)
         self.complete = self.table.dirty = self.table.changed = True
         for name in self.table.others:
             self.exchange.send_all(name)
@@ -221,8 +222,7 @@
         entry, share = self.table.entries.get(name), 1.0 / self.width
         if entry is None or entry.claim >= share - EPSILON:
             return
-        entry.claim, entry.claimed_in = share, 0
-        entry.reserved = max(entry.reserved, share)
+        entry.raise_claim(share)
         self.table.dirty = self.table.urgent = True
 
     def grant(self, name: str) -> None:
@@ -286,15 +286,17 @@
         """Takes over what another member has on disk; that one may complete this directory."""
         assert self.roster is not None
         other = self.table.others[peer]
-        other.received = message.number
+        other.received, other.epoch = message.number, message.epoch
         if message.full:
             other.reserved.clear()
         if message.full and message.complete:
             other.claims = {}
-        completing = message.full and message.complete and not self.complete
-        completing = completing and message.epoch == self.roster.epoch
+        same_epoch = message.epoch == self.roster.epoch
+        completing = message.full and message.complete and not self.complete and same_epoch
+        # in another epoch the sender does not speak for the same members
+        seen = message.seen if same_epoch else 0
         for name, statement in message.statements.items():
-            other.note(name, statement, message.seen)
+            other.note(name, statement, seen)
             self.table.reserve(name, statement.reserved if completing else statement.claim, message.full, now)
         other.asks.update(message.asks)
         self.exchange.answer(peer)
--- a/embersill/edge/peers/directory_exchange.py
+++ b/embersill/edge/peers/directory_exchange.py
@@ -119,8 +119,13 @@
         return True
 
     def answer(self, peer: str) -> None:
-        """Answers another member about the gateways for which its claim is reserved here, on disk."""
+        """Answers another member about the gateways for which its claim is reserved here, on disk.
+
+        One that is in another epoch gets its answer once both are in the same: the members differ.
+        """
         other = self.table.others[peer]
+        if other.epoch != self.epoch:
+            return
         ready = [
             name
             for name in other.asks
--- a/embersill/edge/peers/share_table.py
+++ b/embersill/edge/peers/share_table.py
@@ -37,6 +37,12 @@
     unlinked_at: float | None = None  # time of its last message; None while it is linked here
     silent_from: float = 0.0  # if it is not linked: from when on it counts as silent
 
+    def raise_claim(self, share: float) -> None:
+        """Claims at least this share, which is also reserved here; the other members don't know of it yet."""
+        if share > self.claim:
+            self.claim, self.claimed_in = share, 0
+            self.reserved = max(self.reserved, share)
+
 
 @dataclass(slots=True)
 class OtherMember:
@@ -46,7 +52,8 @@
     reserved: dict[str, float] = field(default_factory=dict)
     seen: dict[str, int] = field(default_factory=dict)  # by gateway: what it had seen when it said so
     claims: dict[str, float] | None = None  # None: not known
-    received: int = 0  # the number of its last message over this link
+    epoch: int = 0  # that it was in when it sent its last message
+    received: int = 0  # the number of that message, if it came over this link
     asks: set[str] = field(default_factory=set)  # gateways about which it waits for an answer
 
     def note(self, name: str, statement: Statement, seen: int) -> None:
@@ -208,5 +215,6 @@
         for member in removed:
             claims = self.others[member].claims
             for name, entry in self.entries.items():
-                claim = entry.reserved if claims is None else claims.get(name, 0.0)
-                entry.claim = max(entry.claim, min(claim, entry.reserved))
+                entry.raise_claim(
+                    min(entry.reserved if claims is None else claims.get(name, 0.0), entry.reserved)
+                )
--- a/tests/edge/test_quota_safety.py
+++ b/tests/edge/test_quota_safety.py
@@ -5,13 +5,14 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 
 from embersill.edge.dataplane.admission import NO_SHARE_WIDTH
 from embersill.edge.peers.directory import SETTLE_S
-from embersill.edge.peers.directory_exchange import DIRECTORY_KEY
+from embersill.edge.peers.directory_exchange import DIRECTORY_KEY, DirectoryMessage
 from embersill.edge.peers.quota_share import QUOTA_LEASE_S
-from embersill.edge.peers.share_table import EXPIRE_AFTER_S
+from embersill.edge.peers.share_table import EXPIRE_AFTER_S, Statement
 from embersill.lab.edge.fleet import Machine
 from embersill.lab.edge.quota_walk import SITES, Site, Walk
 from embersill.lab.edge.system_simulation import (
@@ -191,6 +192,26 @@
     assert joined.quota_width == 6 and not missing_shares(system)
 
 
+def test_what_a_member_of_another_epoch_says_proves_nothing_about_a_claim() -> None:
+    # it may speak for other members, one of which does not know of the gateway
+    system = system_with_quota(8, 5, RATE, BURST)
+    system.run(2.0)
+    asking, refusing = system.machines[0].node, system.machines[1]
+    assert asking is not None and asking.agreement.roster is not None
+    epoch = asking.agreement.roster.epoch
+    refusing.disk_refuses = True
+    joined = system.add(False, "b")
+    system.run(2.0)
+    assert isinstance(joined, Gateway)
+    for told_epoch, width in ((epoch + 1, 0), (epoch, 6)):
+        statements = {joined.name: Statement(1 / 6, 0.0)}
+        message = DirectoryMessage(told_epoch, True, False, 10**6, 10**6, False, statements)
+        body = msgspec.to_builtins(message)
+        asking.heard(refusing.name, {"kind": "gateways", "body": body}, system.kernel.now)
+        system.run(0.2)
+        assert joined.quota_width == width
+
+
 def test_a_restarted_gateway_has_its_share_at_once_though_a_member_is_lost() -> None:
     # its share is on the lost member's disk already: nothing has to be agreed on anew
     system = system_with_quota(6, 6, RATE, BURST)
