The model checker's processes end at SIGTERM though their parent handles it

Two processes of the search's pool slept on a lock, and their signal masks said that they catch SIGTERM (SigCgt 44eb), as pytest does by then: they inherited a handler, and Pool.terminate, which the search ends with, waits for processes that SIGTERM did not end. Which test leaves the handler is not traced, nor was the hang played again: five searches under such a handler ended.

Change: each process of the pool takes SIGTERM's default back. test_the_pool_can_end_its_processes_though_their_parent_handles_sigterm failed before ("SIGTERM is handled") and passes; tests/world/test_search.py: 8 passed.

--- a/embersill/world/search.py
+++ b/embersill/world/search.py
@@ -15,6 +15,7 @@
 import hashlib
 import multiprocessing
 import pickle
+import signal
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
@@ -84,6 +85,12 @@
 _expander: Expander | None = None
 
 
+def _start_worker(make: Callable[[], Model]) -> None:
+    """Prepares a process of the pool; it inherits handlers, and the pool ends it by SIGTERM."""
+    signal.signal(signal.SIGTERM, signal.SIG_DFL)
+    _init_worker(make)
+
+
 def _init_worker(make: Callable[[], Model]) -> None:
     global _expander
     _expander = Expander(make)
@@ -97,7 +104,7 @@
 def search(make: Callable[[], Model], depth: int, max_states: int, processes: int = 1) -> SearchResult:
     """Visits all states within `depth` steps, at most `max_states`; stops at the first violation."""
     result, visited, frontier = SearchResult(), set[bytes](), list[Path]([()])
-    pool = multiprocessing.Pool(processes, _init_worker, (make,)) if processes > 1 else None
+    pool = multiprocessing.Pool(processes, _start_worker, (make,)) if processes > 1 else None
     _init_worker(make)
     try:
         for level in range(1, depth + 1):
--- a/tests/world/test_search.py
+++ b/tests/world/test_search.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 from dataclasses import dataclass, field
 from functools import partial
 
@@ -52,6 +53,26 @@
         assert found.depth == 4 and len(found.path) == 4 and "sum reached" in found.broken
 
 
+class Terminable(Counters):
+    """Finds a violation where SIGTERM does not end the process."""
+
+    def step(self, name: str) -> None:
+        if signal.getsignal(signal.SIGTERM) is not signal.SIG_DFL:
+            raise Broken("signal", 0.0, "SIGTERM is handled")
+        super().step(name)
+
+
+def test_the_pool_can_end_its_processes_though_their_parent_handles_sigterm() -> None:
+    # workers that inherit a handler outlive `Pool.terminate`, and the search waited for them for ever
+    before = signal.signal(signal.SIGTERM, lambda number, frame: None)
+    try:
+        found = search(partial(Terminable, 3), 2, 1000, 2)
+        assert found.states > 1 and not found.broken
+        assert signal.getsignal(signal.SIGTERM) is not signal.SIG_DFL
+    finally:
+        signal.signal(signal.SIGTERM, before)
+
+
 def test_reaching_the_limit_of_states_is_reported() -> None:
     assert not search(partial(Counters, 30), 60, 20).complete
     short = search(partial(Counters, 30), 2, 1000)
