A gateway tells which program it is, and logs each second attempt with its proof

Change: the first line of the log (`event=build`, at any level), `status`, the metric `embersill_build_info` and the command `version` tell version, hash and real folder of the sources, modules from other folders, bytecode beside sources, versions of Python, kernel and libraries. Each second attempt is a line `event=second_attempt`: request, class, outcome before, the proof on which it goes out, and how many bytes of the attempt before the kernel had taken: acknowledged plus unacknowledged bytes (TCP_INFO, TIOCOUTQ), so not from the program's own books. Repeatable requests' lines are of level debug. Metrics count them by proof, and those that the kernel contradicts. docs/operate/run-twice.md says what to look at when the case fails.

--- a/embersill/edge/command.py
+++ b/embersill/edge/command.py
@@ -17,6 +17,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from embersill.edge.build_info import read_build_info
 from embersill.edge.records import Stored
 from embersill.edge.configuration.check import checked
 from embersill.edge.configuration.document import read_document, write_version
@@ -121,6 +122,11 @@
     return ask(chosen.subject, "GET", "/api/status")
 
 
+def show_version(chosen: argparse.Namespace) -> Found:
+    """Tells which program a gateway would be that is started like this command."""
+    return Ok(dict(read_build_info().fields()))
+
+
 def read_ladder(text: str) -> list[dict[str, float]]:
     """Steps given as `share:seconds`, the last maybe without seconds; raises ValueError if malformed."""
     steps = []
@@ -260,6 +266,8 @@
     one = store.add_parser("check", help=check_store.__doc__)
     one.add_argument("subject", metavar="DIR")
     one.set_defaults(does=check_store)
+    one = commands.add_parser("version", help="which program this is: sources, folder, libraries")
+    one.set_defaults(does=show_version)
     one = commands.add_parser("status", help="ask a gateway what it believes")
     one.add_argument("subject", metavar="ADDRESS", help="host:port of its calls of control")
     one.set_defaults(does=status)
--- a/embersill/edge/dataplane/metrics.py
+++ b/embersill/edge/dataplane/metrics.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 from embersill.edge.dataplane.gateway import EdgeGateway
+from embersill.edge.dataplane.second_attempts import SecondAttemptLog
 from embersill.net.clients import Front
 from embersill.net.driver import Driver
 
@@ -12,8 +15,17 @@
 class Metrics:
     """Reads metrics from the data plane's objects; itself it keeps only the longest event loop delay."""
 
-    def __init__(self, driver: Driver, gateway: EdgeGateway, front: Front) -> None:
+    def __init__(
+        self,
+        driver: Driver,
+        gateway: EdgeGateway,
+        front: Front,
+        second_attempts: SecondAttemptLog,
+        build: Mapping[str, str],
+    ) -> None:
+        """`build`: the program's identity, which becomes the labels of `embersill_build_info`."""
         self.driver, self.gateway, self.front = driver, gateway, front
+        self.second_attempts, self.build = second_attempts, build
         self.loop_delay = 0.0  # longest delay of a timer in seconds since the metrics were last read
 
     def note_timer_delay(self, seconds: float) -> None:
@@ -44,4 +56,18 @@
         lines.append(f"embersill_attempts_total {pool.tries}")
         lines.append(f'embersill_attempts_lost_total{{request="partly_sent"}} {pool.lost_sending}')
         lines.append(f'embersill_attempts_lost_total{{request="sent"}} {pool.lost_waiting}')
-        return "\n".join([*lines, *self.driver.disconnects.lines(), ""]).encode()
+        lines += self.second_attempts.lines()
+        lines += self.driver.disconnects.lines()
+        lines.append(info_line("embersill_build_info", self.build))
+        return "\n".join([*lines, ""]).encode()
+
+
+def info_line(name: str, labels: Mapping[str, str]) -> str:
+    """A metric that only carries labels: its value is always 1."""
+    pairs = ",".join(f'{label}="{escape_label(text)}"' for label, text in labels.items())
+    return f"{name}{{{pairs}}} 1"
+
+
+def escape_label(text: str) -> str:
+    """A label's value as the exposition format wants it."""
+    return text.replace("\\", r"\\").replace('"', r"\"").replace("\n", r"\n")
--- a/embersill/edge/logs.py
+++ b/embersill/edge/logs.py
@@ -53,6 +53,11 @@
         return logging.Formatter().formatException(record.exc_info) if record.exc_info else ""
 
 
+def log_event(name: str, **fields: str) -> None:
+    """Writes an event whatever the level is."""
+    eliot.log_message(name, **fields)
+
+
 def start_logging(level: str) -> None:
     """Sends events to standard error from now on, at this level and above."""
     eliot.add_destinations(write)
--- a/embersill/edge/node.py
+++ b/embersill/edge/node.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from functools import partial
 from typing import Any
 
@@ -88,6 +88,7 @@
         self.demand = Demand(
             hello, self.peers, self.agreement, self.directory, self.quota_share, self.effects, now
         )
+        self.build: Mapping[str, str] = {}  # the program's identity, which `status` tells
         self.state: State = EMPTY
         self.table: Table | None = None
         self.on_table: Callable[[Table], None] = lambda table: None
--- a/embersill/edge/program.py
+++ b/embersill/edge/program.py
@@ -18,16 +18,18 @@
 import uvloop
 from expression import Error, Ok, Result
 
+from embersill.edge.build_info import read_build_info
 from embersill.edge.records import Save, Stored, Vote
 from embersill.edge.dataplane.gateway import EdgeGateway
 from embersill.edge.dataplane.dialect import EdgeDialect
 from embersill.edge.dataplane.handlers import ControlHandler, ClientHandler, ReadinessHandler
 from embersill.edge.dataplane.in_flight import InFlight
+from embersill.edge.dataplane.second_attempts import SecondAttemptLog
 from embersill.edge.discovery.instances import GONE, Instance
 from embersill.edge.peers.links import Links
 from embersill.edge.listening import listen_when_free
 from embersill.edge.local import Local, bound, read_local
-from embersill.edge.logs import start_logging
+from embersill.edge.logs import log_event, start_logging
 from embersill.edge.consensus.membership import Requirements
 from embersill.edge.node import Node
 from embersill.edge.consensus.founding import address_key
@@ -116,7 +118,10 @@
         self.handler.is_behind, self.handler.after_next_poll = self.is_behind, self.after_next_poll
         self.handler.on_stopped = self.node.reports.slowdown_counts.count_rejected
         self.front = self.listener(clients, self.handler, CLIENT_BODY_BYTES)
-        self.metrics = Metrics(self.driver, self.gateway, self.front)
+        second_attempts = SecondAttemptLog(lambda: self.gateway.settings.classes)
+        self.driver.on_second_attempt = second_attempts.note
+        self.node.build = read_build_info().fields()
+        self.metrics = Metrics(self.driver, self.gateway, self.front, second_attempts, self.node.build)
         self.ready = self.listener(32, ReadinessHandler(self.is_ready, self.metrics), 0)
         self.control = self.listener(
             MAX_CONTROL_CONNECTIONS, ControlHandler(self.handle_control_call), CONTROL_BODY_BYTES
@@ -379,4 +384,5 @@
 def run_gateway(environment: dict[str, str], log_level: str) -> int:
     """Runs a gateway process, its logging included; returns the exit status."""
     start_logging(log_level)
+    log_event("build", **read_build_info().fields())
     return uvloop.run(run(environment))
--- a/embersill/edge/status.py
+++ b/embersill/edge/status.py
@@ -22,6 +22,7 @@
         counts[state] = counts.get(state, 0) + 1
     return {
         "node_name": node.me.name,
+        "build": dict(node.build),
         "zone": node.me.zone,
         "version": write_version(version),
         "core": node.me.core,
--- a/embersill/net/backends.py
+++ b/embersill/net/backends.py
@@ -17,6 +17,7 @@
 
 from embersill.interface import Outcome
 from embersill.net.deadlines import Deadline, Deadlines
+from embersill.net.sent_bytes import UNKNOWN_BYTES, bytes_taken
 from embersill.net.writing import disable_buffering, write_message
 
 MAX_BODY_BYTES = 64 * 1024  # of a response, by the protocol
@@ -101,6 +102,8 @@
         "dial",
         "head",
         "id",
+        "kernel_bytes",
+        "outcome",
         "owner",
         "place",
         "body_pieces",
@@ -129,6 +132,8 @@
         self.id = b""  # the client's id for it, where backends name the attempt that they answer
         self.began_at = 0.0  # when its response began to be streamed
         self.written = False  # any of it is sent: from then on the backend may run it
+        self.outcome: Outcome | None = None  # how it ended
+        self.kernel_bytes = 0  # bytes that the kernel had taken of it, if it is proven that it has not run
         self.connection: BackendConnection | None = None
         self.dial: asyncio.Task[None] | None = None
         self.timer: Deadline | None = None
@@ -143,6 +148,7 @@
         owner, self.owner = self.owner, None  # also breaks the reference cycle with the owner
         if owner is None:
             return
+        self.outcome = answer.outcome
         if self.timer is not None:
             self.timer.cancel()
         if self.dial is not None:
@@ -156,6 +162,8 @@
 
         Only one of which nothing was written has certainly not run. See docs/design/execution-safety.md.
         """
+        if not self.written and self.connection is not None:
+            self.kernel_bytes = self.connection.request_bytes_taken()
         self.end(Answer(outcome if self.written else Outcome.NO_CONNECTION))
 
     def time_out(self) -> None:
@@ -199,6 +207,7 @@
         self.stall: asyncio.TimerHandle | None = None
         self.idle_since = self.idle_time = 0.0  # since when it is idle; how long it was before its last use
         self.unsent = False  # part of the request is not yet in the kernel's buffer
+        self.request_bytes = self.earlier_bytes = 0  # sizes of the present request, and of all before it
         self.paused = False  # reading has stopped because the client's buffer is full
         self.parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self.start_answer()
@@ -241,13 +250,21 @@
         assert self.transport is not None
         self.attempt, attempt.connection = attempt, self
         self.start_answer()
-        head = self.pool.dialect.head(attempt, wait)
-        attempt.written = write_message(self.transport, head + attempt.body, attempt.body_pieces or ())
+        first = self.pool.dialect.head(attempt, wait) + attempt.body
+        rest = attempt.body_pieces or ()
+        self.earlier_bytes += self.request_bytes
+        self.request_bytes = len(first) + sum(map(len, rest))
+        attempt.written = write_message(self.transport, first, rest)
         if not attempt.written:
             return attempt.fail(Outcome.BROKEN)
         self.pool.tries += 1
         return None
 
+    def request_bytes_taken(self) -> int:
+        """The bytes that the kernel has taken of the present request; -1 if it does not tell."""
+        taken = bytes_taken(self.descriptor)
+        return taken - self.earlier_bytes if taken != UNKNOWN_BYTES else UNKNOWN_BYTES
+
     def give_up(self, attempt: Attempt) -> None:
         """Closes the connection, which tells the backend that the attempt was cancelled."""
         if self.attempt is attempt:
@@ -440,6 +457,8 @@
             answer = self.pool.dialect.judge(self, attempt, b"".join(parts))
         else:
             answer = Answer(Outcome.BROKEN)
+        if answer.outcome.never_ran:
+            attempt.kernel_bytes = self.request_bytes_taken()
         whole = answer.outcome is not Outcome.BROKEN
         # the connection is returned before the outcome is reported: the next attempt may need it
         if (
@@ -482,6 +501,7 @@
             else:
                 self.pool.lost_waiting += 1
             attempt.fail(Outcome.BROKEN)
+        self.descriptor = -1
 
 
 class CallDialect:
--- a/embersill/net/driver.py
+++ b/embersill/net/driver.py
@@ -48,6 +48,7 @@
 from embersill.net.deadlines import Deadline
 from embersill.net.disconnects import ClientDisconnects
 from embersill.net.discovery import Listing
+from embersill.net.second_attempts import SecondAttempt, second_attempt
 
 if TYPE_CHECKING:
     from embersill.service.figures import Figures
@@ -187,6 +188,7 @@
         self.serving: set[str] = set()  # backends that are listed as serving
         self.listed: set[str] = set()  # backends that are listed as serving or draining
         self.figures: Figures | None = None
+        self.on_second_attempt: Callable[[SecondAttempt], None] | None = None
         self.disconnects = ClientDisconnects()
         self.events: deque[tuple[Event, float]] = deque()
         self.handling = False
@@ -395,6 +397,8 @@
         pending.open_attempts += 1
         if pending.over or now >= pending.end:
             return attempt.end(Answer(Outcome.NOT_SENT))
+        if place and self.on_second_attempt is not None:
+            self.on_second_attempt(second_attempt(pending.call.klass, attempt, pending.attempts[:-1]))
         return self.pool.start(attempt)
 
     def cancel(self, action: Cancel) -> None:
--- a/tests/execution/test_edge.py
+++ b/tests/execution/test_edge.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -57,7 +58,7 @@
     """Three gateways with disks and one without, before backends that let attempts end as a ledger says."""
 
     def __init__(self, ports: list[int], wire: EdgeWire) -> None:
-        self.front, _, self.control, _ = ports
+        self.front, self.readiness, self.control, _ = ports
         self.ledger = Ledger()
         self.backends = [EndingBackend(f"i-e{number}", wire, self.ledger) for number in range(BACKENDS)]
         self.sequence = 0
@@ -164,6 +165,40 @@
     run_deployment(tmp_path, scenario)
 
 
+@pytest.mark.parametrize(
+    ("point", "way", "proof"),
+    [
+        (Point.BEFORE_ANSWER, Way.DECLINE, "declined"),
+        (Point.BEFORE_BODY, Way.DECLINE_AND_RESET, "declined"),
+        (Point.REFUSED, Way.RESET, "nothing_written"),
+    ],
+)
+def test_a_second_attempt_is_logged_with_its_proof(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture, point: Point, way: Way, proof: str
+) -> None:
+    """Guards against a second run of which nobody could tell afterwards why it was allowed."""
+    caplog.set_level(logging.INFO, "embersill.edge")
+
+    async def scenario(deployment: Deployment) -> None:
+        await deployment.earn_retries()
+        if point is Point.REFUSED:
+            for backend in deployment.backends[1:]:
+                await backend.stop()
+        for number in range(4):  # the backends that refuse are not always the first choice
+            walk = Walk(f"again{number}", (point, way), 40)
+            assert await ask_once(walk, deployment.ledger, deployment.ask) in (200, 503)
+        _, _, text = await call(FRONT_HOST, deployment.readiness, "GET /api/metrics HTTP/1.1")
+        lines = [r.getMessage() for r in caplog.records if r.getMessage().startswith("second attempt ")]
+        assert lines and f'embersill_second_attempts_total{{proof="{proof}"}} {len(lines)}' in text.decode()
+        assert "embersill_second_attempts_contradicted_total 0" in text.decode()
+        for line in lines:
+            assert " request=again" in line and " repeatable=no " in line and f" proof={proof} " in line
+            kernel_bytes = int(line.rpartition("kernel_bytes=")[2])
+            assert kernel_bytes == 0 if proof == "nothing_written" else kernel_bytes > 40
+
+    run_deployment(tmp_path, scenario)
+
+
 @pytest.mark.parametrize("status", sorted(PROMISES - {421}))
 def test_an_order_that_has_run_is_never_answered_as_not_run(tmp_path: Path, status: int) -> None:
     """Guards against a client's second try: a backend's own 503 was passed on, which promises no run."""
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -24,6 +24,7 @@
     BackendConnection,
     Pool,
 )
+from embersill.net.sent_bytes import UNKNOWN_BYTES
 from tests.bed import run
 from tests.peers import HOST, SOON, Asked, BackendPeer, Step, message
 
@@ -205,6 +206,24 @@
     run(test)
 
 
+def test_the_kernel_tells_how_much_it_has_taken_of_each_request() -> None:
+    async def test() -> None:
+        declines = says(message(503, b"", "X-Rejected: 1"))
+        async with sending(says(message(200, b"x")), declines) as (sender, peer):
+            assert await sender.outcome() is Outcome.SERVED
+            await asyncio.sleep(2 * MIN_IDLE_S)
+            attempt, ended = sender.start(body=b"x" * 3000)
+            assert (await ended).outcome is Outcome.TURNED_AWAY
+            (connection,) = sender.pool.connections
+            assert connection.is_reused() and connection.earlier_bytes > 0
+            assert attempt.kernel_bytes == connection.request_bytes > 3000
+            connection.close()
+            await asyncio.sleep(0.01)
+            assert connection.request_bytes_taken() == UNKNOWN_BYTES
+
+    run(test)
+
+
 class ClosingLoop:
     """The event loop, but for connections: when one comes up, its other end has closed it already."""
 
