A message to a backend is one write: no body goes out behind a head that was cut off

Callers saw nothing in service.

Cause: head and body were two calls. uvloop tries the remainder of a part that the kernel took at once, and reports an error of that try only in its next turn; until then the transport looks open and empty.

Change: write_message hands head and body over in one call; an error in it drops all the rest.

--- a/embersill/net/writing.py
+++ b/embersill/net/writing.py
@@ -21,12 +21,14 @@
 
     False proves that nothing was sent: the kernel refused even the first bytes, since the connection had
     broken before, and the transport closes.
+
+    The whole message is one write. A transport may learn of an error behind a part of a write, and report it
+    later: it drops the rest of that write, but would still send the next one.
     """
-    if transport.is_closing():
-        return False
-    transport.write(first)
     if transport.is_closing():
         return False
     if rest:
-        transport.writelines(rest)
-    return True
+        transport.writelines([first, *rest])
+    else:
+        transport.write(first)
+    return not transport.is_closing()
