A request whose write raises may have run: it is not sent to a second backend

Callers saw nothing in service: found by asking what follows if the write itself raises, as it can without memory.

Cause: `attempt.written` was set from what the write returns, so it stayed false where it raised, although the kernel had taken a part. The end of the connection then counted as proof that nothing was sent.

Change: it is true from before the write on, and false only where the write returns that nothing was sent. The error is logged with the backend and the attempt ends at once; before, its request waited for its deadline.

--- a/embersill/net/backends.py
+++ b/embersill/net/backends.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import math
 import select
 from collections.abc import Callable, Iterable
@@ -36,6 +37,8 @@
 # statuses that tell a client that its request has not run and never will, so that it may send it again
 NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
 
+log = logging.getLogger("embersill")
+
 
 @dataclass(frozen=True, slots=True)
 class Answer:
@@ -254,7 +257,12 @@
         rest = attempt.body_pieces or ()
         self.earlier_bytes += self.request_bytes
         self.request_bytes = len(first) + sum(map(len, rest))
-        attempt.written = write_message(self.transport, first, rest)
+        attempt.written = True  # also if the write raises: some of it may have left before
+        try:
+            attempt.written = write_message(self.transport, first, rest)
+        except Exception:  # such as a lack of memory
+            log.exception("a request could not be written backend=%s", attempt.backend)
+            return attempt.fail(Outcome.BROKEN)
         if not attempt.written:
             return attempt.fail(Outcome.BROKEN)
         self.pool.tries += 1
--- a/tests/execution/test_writing.py
+++ b/tests/execution/test_writing.py
@@ -1,4 +1,4 @@
-"""What a receiver gets of a message that is written in part, or fails on the way.
+"""What a receiver gets of a message that is written in part, fails on the way, or whose write raises.
 
 The transport of these tests is a model of uvloop's, which tries each write at once and the remainder once
 more: an error at that second try drops the remainder, and is reported only later.
@@ -8,12 +8,18 @@
 
 import asyncio
 import random
+import socket
 from collections.abc import Iterable
-from typing import Any
+from typing import Any, cast
 
 import pytest
 
+from embersill.interface import Outcome
+from embersill.net.backends import Attempt, BackendConnection, Endpoint, Pool
 from embersill.net.writing import write_message
+from tests.bed import run
+from tests.peers import HOST
+from tests.test_backends import HEAD, Ended
 
 WALKS = 400  # of each seed
 FIRST, REST = b"POST / HTTP/1.1\r\nContent-Length: 60\r\n\r\n", [b"a" * 20, b"b" * 20, b"c" * 20]
@@ -22,9 +28,11 @@
 class ModelTransport(asyncio.WriteTransport):
     """Takes a drawn part of each write, and fails at drawn places."""
 
-    def __init__(self, chance: random.Random) -> None:
-        super().__init__()
-        self.chance = chance
+    def __init__(
+        self, chance: random.Random, raises: bool = False, sock: socket.socket | None = None
+    ) -> None:
+        super().__init__({"socket": sock})
+        self.chance, self.raises = chance, raises
         self.received, self.queued, self.closing = b"", b"", False
 
     def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
@@ -58,6 +66,8 @@
             return
         taken = self.chance.choice((0, self.chance.randint(0, len(data)), len(data)))
         self.received += data[:taken]
+        if self.raises:
+            raise MemoryError
         if self.chance.random() < 0.5:  # else the second try fails, too late for this call to tell
             self.queued = data[taken:]
 
@@ -75,3 +85,24 @@
         assert sent or not received
         cut_off += 0 < len(received) < len(FIRST)
     assert cut_off
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_an_attempt_whose_write_raises_may_have_run(seed: int) -> None:
+    """Guards against a second run: the first bytes had left when the write of the others raised."""
+
+    async def test() -> None:
+        pool = Pool(asyncio.get_running_loop().time, 1.0, 60.0, 10)
+        owner, now = Ended(), pool.clock()
+        attempt = Attempt("b", HEAD, b"ab", now, now + 5.0, 0, owner)
+        attempt.body_pieces = [b"c" * 100]
+        connection = BackendConnection(pool, Endpoint("b", (HOST, 1), None))
+        with socket.socket() as sock:
+            transport = ModelTransport(random.Random(seed), raises=True, sock=sock)
+            connection.connection_made(cast(asyncio.BaseTransport, transport))
+            connection.send(attempt, 5.0)
+            connection.connection_lost(None)
+        assert (await owner.answer).outcome is Outcome.BROKEN
+        pool.close()
+
+    run(test)
