A counter call whose write raises may have been added: it is not counted again

Cause: `CounterCall.written` was set from what the write returns, so a call that had left was reported as not added where the write raised, and its answer would have been matched to the next call.

Change: true from before the write on; a write that raises closes the connection, whose calls end as timed out.

--- a/embersill/net/counter.py
+++ b/embersill/net/counter.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import re
 import zlib
 from collections import deque
@@ -19,6 +20,8 @@
 IDLE_LIMIT_S = 3.0  # older idle connections are replaced: the counter closes them without notice
 TOTAL = re.compile(rb"-?\d{1,20}(\.\d{1,20})?([eE][+-]?\d{1,2})?")
 
+log = logging.getLogger("embersill")
+
 
 class CounterCall:
     """One call. Its outcome is reported once; a later answer must still be matched to it, in order."""
@@ -84,7 +87,12 @@
     def write(self, call: CounterCall, text: bytes) -> None:
         """Writes a call and queues it for its answer."""
         assert self.transport is not None
-        call.written = write_message(self.transport, text)
+        call.written = True  # also if the write raises: some of it may have left before
+        try:
+            call.written = write_message(self.transport, text)
+        except Exception:  # such as a lack of memory
+            log.exception("a counter call could not be written")
+            self.close()
         if call.written:
             self.written.append(call)
         else:
--- a/tests/execution/test_counter_calls.py
+++ b/tests/execution/test_counter_calls.py
@@ -57,8 +57,8 @@
 class Kernel:
     """A transport whose kernel buffer takes a drawn number of bytes at a time."""
 
-    def __init__(self, owner: Owner, chance: random.Random) -> None:
-        self.owner, self.chance = owner, chance
+    def __init__(self, owner: Owner, chance: random.Random, raise_share: float) -> None:
+        self.owner, self.chance, self.raise_share = owner, chance, raise_share
         self.connection: CounterConnection
         self.written = self.taken = 0  # bytes of the stream
         self.broken = self.closing = False
@@ -86,6 +86,8 @@
         self.stream.append(sent)
         self.written += len(data)
         self.take(self.chance.choice((len(data), self.chance.randint(1, len(data)))))
+        if self.raise_share and self.chance.random() < self.raise_share:
+            raise MemoryError
         if self.taken < self.written:
             self.connection.pause_writing()
 
@@ -117,11 +119,11 @@
         self.connection.data_received(b"-BUSY\r\n" if sent.declined else b":1\r\n")
 
 
-def walk(chance: random.Random) -> list[SentCall]:
-    """Plays one connection to its end; returns its calls."""
+def walk(chance: random.Random, raise_share: float = 0.0) -> list[SentCall]:
+    """Plays one connection to its end; returns its calls. `raise_share`: of writes, those that raise."""
     owner = Owner(unpipelined=chance.random() < 0.3)
     connection = CounterConnection(cast(Counter, owner))
-    kernel = Kernel(owner, chance)
+    kernel = Kernel(owner, chance, raise_share)
     kernel.connection = connection
     if chance.random() < 0.8:
         connection.connection_made(cast("object", kernel))  # type: ignore[arg-type]
@@ -146,6 +148,14 @@
     return list(owner.calls.values())
 
 
+def check(sent: SentCall, case: str) -> None:
+    """What holds for each call when its connection has ended."""
+    assert sent.outcome is not None, case
+    assert not (sent.added and sent.outcome in NOT_ADDED), case
+    if sent.offset < 0:  # nothing was sent: this is known, so it can be counted again
+        assert sent.outcome is Outcome.NO_CONNECTION, case
+
+
 @pytest.mark.parametrize("seed", range(5))
 def test_a_call_that_is_told_as_not_added_was_not_added(seed: int) -> None:
     """Guards against counting a call again whose end alone had not been sent."""
@@ -153,10 +163,15 @@
     outcomes: set[Outcome | None] = set()
     for number in range(WALKS):
         for sent in walk(chance):
-            case = f"walk {number}: {sent}"
-            assert sent.outcome is not None, case
-            assert not (sent.added and sent.outcome in NOT_ADDED), case
-            if sent.offset < 0:  # nothing was sent: this is known, so it can be counted again
-                assert sent.outcome is Outcome.NO_CONNECTION, case
+            check(sent, f"walk {number}: {sent}")
             outcomes.add(sent.outcome)
     assert outcomes == {Outcome.SERVED, Outcome.TIMED_OUT, Outcome.NO_CONNECTION, Outcome.TURNED_AWAY}
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_call_whose_write_raises_may_have_been_added(seed: int) -> None:
+    """Guards against counting a call again that had left when its write raised."""
+    chance = random.Random(seed)
+    for number in range(WALKS):
+        for sent in walk(chance, raise_share=0.2):
+            check(sent, f"walk {number}: {sent}")
