--- a/embersill/net/backends.py
+++ b/embersill/net/backends.py
@@ -33,6 +33,7 @@
 MIN_IDLE_LIMIT_S = 0.05  # lower bound of the idle limit, however many idle connections turn out dead
 IDLE_DECREASE, IDLE_INCREASE = 0.7, 1.01  # factors on the idle limit for a dead connection and a live one
 DEAD_WITHIN_S = 0.02  # after the write, a dead connection breaks: a response is cut off only later
+MIN_LEFT_S = 0.001  # least time that a backend is told to be left
 SWEEP_INTERVAL_S = 1.0  # between checks for idle connections
 # statuses that tell a client that its request has not run and never will, so that it may send it again
 NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
@@ -256,7 +257,7 @@
         first = self.pool.dialect.head(attempt, wait) + attempt.body
         rest = attempt.body_pieces or ()
         self.earlier_bytes += self.request_bytes
-        self.request_bytes = len(first) + sum(map(len, rest))
+        self.request_bytes = len(first) + (sum(map(len, rest)) if rest else 0)
         attempt.written = True  # also if the write raises: some of it may have left before
         try:
             attempt.written = write_message(self.transport, first, rest)
@@ -637,7 +638,8 @@
             return attempt.fail(Outcome.BROKEN)
         connection = self.take_idle(endpoint, now)
         if connection is not None:
-            return connection.send(attempt, max(attempt.until - now, 0.001))
+            left = attempt.until - now
+            return connection.send(attempt, left if left > MIN_LEFT_S else MIN_LEFT_S)
         if not self.has_room():
             return attempt.fail(Outcome.BROKEN)
         self.dialling[attempt] = endpoint
@@ -700,7 +702,7 @@
             up = False
             connection.close()
         if up and not attempt.ended:
-            connection.send(attempt, max(attempt.until - self.clock(), 0.001))
+            connection.send(attempt, max(attempt.until - self.clock(), MIN_LEFT_S))
         else:
             attempt.fail(Outcome.BROKEN)
 
