--- a/embersill/edge/dataplane/dialect.py
+++ b/embersill/edge/dataplane/dialect.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable
 
 from embersill.interface import Outcome
-from embersill.net.backends import NOT_EXECUTED_STATUSES, Answer, Attempt, BackendConnection
+from embersill.net.attempt import NOT_EXECUTED_STATUSES, Answer, Attempt
+from embersill.net.backends import BackendConnection
 
 # headers that concern one connection only, or that the other end writes itself
 HOP_BY_HOP_HEADERS = frozenset(
--- a/embersill/edge/program.py
+++ b/embersill/edge/program.py
@@ -40,7 +40,7 @@
 from embersill.edge.dataplane.metrics import Metrics
 from embersill.edge.dataplane.quota_client import QuotaClient
 from embersill.interface import Backend, Configured, ListKind, QuotaWidth, Settings, Status
-from embersill.net.backends import Pool
+from embersill.net.backend_pool import Pool
 from embersill.net.clients import Front
 from embersill.net.discovery import Entry, Listing, read_address
 from embersill.net.driver import Driver
--- a/embersill/lab/counting_harness.py
+++ b/embersill/lab/counting_harness.py
@@ -15,7 +15,8 @@
 
 from embersill.control import Gateway
 from embersill.interface import Backend, ListKind, Status
-from embersill.net.backends import BackendConnection, Pool
+from embersill.net.backend_pool import Pool
+from embersill.net.backends import BackendConnection
 from embersill.net.clients import ClientConnection, Front
 from embersill.net.discovery import Entry, Listing
 from embersill.net.driver import Driver
--- a/embersill/lab/fuzzing/targets.py
+++ b/embersill/lab/fuzzing/targets.py
@@ -23,7 +23,8 @@
 from embersill.configuration.platform import BadConfiguration, build_configuration
 from embersill.interface import Backend, BackendList, ListKind, Outcome, Request, Send, Status
 from embersill.lab.counting_harness import Harness
-from embersill.net.backends import Answer, Attempt, BackendConnection
+from embersill.net.attempt import Answer, Attempt
+from embersill.net.backends import BackendConnection
 from embersill.net.counter import CounterCall, CounterConnection
 from embersill.net.discovery import BadList, DiscoveryConnection, read_listing
 from embersill.rig.settings import lab_settings, settings_object
--- a/embersill/net/driver.py
+++ b/embersill/net/driver.py
@@ -37,14 +37,9 @@
     StreamBegun,
     TimerDue,
 )
-from embersill.net.backends import (
-    NOT_EXECUTED_STATUSES,
-    Answer,
-    Attempt,
-    BackendConnection,
-    Pool,
-    Sink,
-)
+from embersill.net.attempt import NOT_EXECUTED_STATUSES, Answer, Attempt, Sink
+from embersill.net.backend_pool import Pool
+from embersill.net.backends import BackendConnection
 from embersill.net.deadlines import Deadline
 from embersill.net.disconnects import ClientDisconnects
 from embersill.net.discovery import Listing
--- a/embersill/net/second_attempts.py
+++ b/embersill/net/second_attempts.py
@@ -7,7 +7,7 @@
 from enum import Enum
 
 from embersill.interface import Outcome
-from embersill.net.backends import Attempt
+from embersill.net.attempt import Attempt
 
 
 class Proof(Enum):
--- a/embersill/roles.py
+++ b/embersill/roles.py
@@ -13,7 +13,7 @@
 
 from embersill.configuration.platform import BadConfiguration, Configuration, read_configuration
 from embersill.control import Gateway
-from embersill.net.backends import Pool
+from embersill.net.backend_pool import Pool
 from embersill.net.clients import SLOW_REQUEST_TIMEOUT_S, Front
 from embersill.net.counter import Counter
 from embersill.net.discovery import Discovery
--- a/tests/edge/test_connection_states.py
+++ b/tests/edge/test_connection_states.py
@@ -16,7 +16,9 @@
 
 from embersill.edge.dataplane.dialect import EdgeDialect
 from embersill.interface import Outcome
-from embersill.net.backends import MIN_IDLE_S, Answer, Attempt, BackendConnection, Pool
+from embersill.net.attempt import Answer, Attempt
+from embersill.net.backend_pool import MIN_IDLE_S, Pool
+from embersill.net.backends import BackendConnection
 from tests.bed import run
 
 HOST = "127.0.0.1"
--- a/tests/edge/test_fences.py
+++ b/tests/edge/test_fences.py
@@ -165,7 +165,7 @@
         ATTEMPT_OUTCOMES_TEST,
         Fence(
             "may-have-run",
-            "embersill.net.backends",
+            "embersill.net.attempt",
             "a reset after the whole request was sent counts as not run",
             "outcome if self.written else Outcome.NO_CONNECTION",
             "Outcome.NO_CONNECTION",
--- a/tests/execution/test_write_errors.py
+++ b/tests/execution/test_write_errors.py
@@ -20,7 +20,8 @@
 import uvloop
 
 from embersill.interface import CounterResult, Outcome
-from embersill.net.backends import Answer, Attempt, Pool
+from embersill.net.attempt import Answer, Attempt
+from embersill.net.backend_pool import Pool
 from embersill.net.counter import Counter
 from tests.peers import HOST, message
 from tests.test_backends import HEAD, Ended
--- a/tests/execution/test_writing.py
+++ b/tests/execution/test_writing.py
@@ -15,7 +15,9 @@
 import pytest
 
 from embersill.interface import Outcome
-from embersill.net.backends import Attempt, BackendConnection, Endpoint, Pool
+from embersill.net.attempt import Attempt
+from embersill.net.backend_pool import Pool
+from embersill.net.backends import BackendConnection, Endpoint
 from embersill.net.writing import write_message
 from tests.bed import run
 from tests.peers import HOST
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -15,15 +15,9 @@
 
 from embersill.interface import Outcome
 from embersill.net import backends
-from embersill.net.backends import (
-    MAX_BODY_BYTES,
-    MAX_HEAD_BYTES,
-    MIN_IDLE_S,
-    Answer,
-    Attempt,
-    BackendConnection,
-    Pool,
-)
+from embersill.net.attempt import Answer, Attempt
+from embersill.net.backend_pool import MIN_IDLE_S, Pool
+from embersill.net.backends import MAX_BODY_BYTES, MAX_HEAD_BYTES, BackendConnection
 from embersill.net.sent_bytes import UNKNOWN_BYTES
 from tests.bed import run
 from tests.peers import HOST, SOON, Asked, BackendPeer, Step, message
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from embersill.net.backends import MIN_IDLE_S
+from embersill.net.backend_pool import MIN_IDLE_S
 from embersill.net.clients import MAX_BODY_BYTES, MAX_BAD_REQUESTS, MAX_HEAD_BYTES, EVICTABLE_IDLE_S
 from tests.bed import READY, Bed, Client, request, roomy_settings, run, running
 from tests.peers import SOON, Asked, message, serve, serve_after
