Review: a gateway cut off while the core is replaced never links again (CONFIG)

Cause: a gateway dials only the members that it last knew and the seeds of its start or its last SIGHUP; the members dial no gateway without a disk; a settings file that changed without a signal is not read.

Change: case 6 of the second review, a script; the operator stand-in pauses longer each time where asked to.

--- a/review/standins-2/small.py
+++ b/review/standins-2/small.py
@@ -119,8 +119,9 @@
         return made
 
     def controls(self) -> list[str]:
-        """The control addresses of the gateways that run."""
-        return [g.control for g in self.gateways.values() if g.running and not g.hidden]
+        """The control addresses of the gateways that run; of all if none does."""
+        up = [g.control for g in self.gateways.values() if g.running and not g.hidden]
+        return up or [g.control for g in self.gateways.values()]
 
     def background(self, work: Any) -> asyncio.Task[Any]:
         """Runs something beside the case."""
@@ -129,8 +130,8 @@
         task.add_done_callback(self.tasks.discard)
         return task
 
-    async def order(self, method: str, body: dict[str, Any], within: float = 15.0) -> int:
-        """An operator's change, sent until a clear answer comes; its status."""
+    async def order(self, method: str, body: dict[str, Any], within: float = 15.0, pause: float = 0.3) -> int:
+        """An operator's change, sent until a clear answer comes, with a pause that grows; its status."""
         until = time.monotonic() + within
         while time.monotonic() < until:
             address = random.choice(self.controls())
@@ -140,7 +141,8 @@
             self.note(f"operator {method} version={body['version']} at={address} status={status}")
             if status == 200 or status in (400, 409, 412, 413, 422):
                 return status
-            await asyncio.sleep(0.3)
+            await asyncio.sleep(pause)
+            pause = min(1.2 * pause, 3.0)
         return 0
 
     async def request(self, gateway: Gateway, path: str, key: str, milliseconds: int = 2000,
