--- a/tests/edge/test_sockets.py
+++ b/tests/edge/test_sockets.py
@@ -76,19 +76,6 @@
     return int(status_line.split(" ")[1]), headers, answer_body
 
 
-def heartbeat(address: str, sequence: int) -> dict[str, Any]:
-    """The body of a heartbeat of a backend that is ready."""
-    return {
-        "service": "s",
-        "address": address,
-        "zone": "a",
-        "capacity_slots": 4,
-        "state": "ready",
-        "call_sequence": sequence,
-        "warmup_remaining_s": 0,
-    }
-
-
 class Backend:
     """A stand-in that answers by a function of path and headers; None aborts the connection."""
 
@@ -181,8 +168,16 @@
         route["routes"]["r1"]["kind"] = "non_idempotent"
         status, _, body = await put_until_known(control, route)
         assert status == 200, body
-        line = "PUT /api/instances/i-1 HTTP/1.1"
-        status, _, body = await call("127.0.0.4", control, line, heartbeat(backend.address, 1))
+        heartbeat = {
+            "service": "s",
+            "address": backend.address,
+            "zone": "a",
+            "capacity_slots": 4,
+            "state": "ready",
+            "call_sequence": 1,
+            "warmup_remaining_s": 0,
+        }
+        status, _, body = await call("127.0.0.4", control, "PUT /api/instances/i-1 HTTP/1.1", heartbeat)
         assert status == 200 and json.loads(body)["heartbeat_address"].endswith(f":{control}")
         await wait_until(lambda: all(process.is_ready() for process in processes))
         await scenario(ports, backend, processes)
--- a/tests/execution/test_edge.py
+++ b/tests/execution/test_edge.py
@@ -11,7 +11,7 @@
 import pytest
 
 from embersill.edge.program import GatewayProcess
-from tests.edge.test_sockets import Backend, call, heartbeat, run_scenario, wait_until
+from tests.edge.test_sockets import Backend, call, run_scenario, wait_until
 from tests.execution.endings import (
     DECLINES,
     LONG_BODY_BYTES,
@@ -77,8 +77,17 @@
         """Sends a heartbeat of each backend."""
         self.sequence += 1
         for backend in self.backends:
+            heartbeat = {
+                "service": "s",
+                "address": backend.address,
+                "zone": "a",
+                "capacity_slots": 4,
+                "state": "ready",
+                "call_sequence": self.sequence,
+                "warmup_remaining_s": 0,
+            }
             line = f"PUT /api/instances/{backend.name} HTTP/1.1"
-            await call(CONTROL_HOST, self.control, line, heartbeat(backend.address, self.sequence))
+            await call(CONTROL_HOST, self.control, line, heartbeat)
 
     async def ask(self, walk: Walk) -> int:
         """Sends a request of a non-idempotent route; returns the status of its answer."""
